Serve real clients on sockets through the inherited decision module

Adds package latchspoke: a core without I/O that feeds the decision module and carries out its actions, and asyncio protocols on uvloop with httptools for clients, servers, counter and discovery.

What could not be had: asyncio connects through a coroutine, so opening a connection takes one task.

The settings type gains the time limits of connections (connect_limit, conn_idle); there is no second one.

--- a/barleyhub/drill.py
+++ b/barleyhub/drill.py
@@ -107,6 +107,8 @@
         fall_time=seconds(rules.get("FallNs")),
         reports=tuple(info.get("Fields") or ()),
         reports_in_answers=info.get("Via") == "answers",
+        connect_limit=seconds(allowed.get("ConnectTimeoutNs")) or 0.25,
+        conn_idle=seconds(allowed.get("ConnIdleNs")) or 15.0,
     )
 
 
--- a/barleyhub/interface.py
+++ b/barleyhub/interface.py
@@ -113,6 +113,8 @@
     fall_time: float = 1.0
     reports: tuple[str, ...] = ()
     reports_in_answers: bool = False
+    connect_limit: float = 0.25
+    conn_idle: float = 15.0
 
     def __post_init__(self) -> None:
         """A class or plan may stand only once."""
--- /dev/null
+++ b/latchspoke/config.py
@@ -0,0 +1,109 @@
+"""What a gateway is told: the environment and the JSON that GW_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from barleyhub import drill
+from barleyhub import interface as api
+
+Address = tuple[str, int]
+
+STATES = {
+    "in_service": api.ServerState.ACTIVE,
+    "terminating": api.ServerState.LEAVING,
+    "terminated": api.ServerState.LEFT,
+}
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class TargetList:
+    """Discovery's list or a change of it: the module's entries, and where each is reached."""
+
+    generation: int
+    whole: bool
+    entries: tuple[api.ServerEntry, ...]
+    addresses: dict[str, Address]
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """Where this gateway lives; what it goes by is in ``settings``."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    known: TargetList
+    settings: api.Settings
+
+
+def read_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"not an address (host:port): {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def read_entry(e: dict[str, Any]) -> api.ServerEntry:
+    return api.ServerEntry(
+        server=e["instanceId"],
+        state=STATES[e["lifecycle"]],
+        zone=e.get("zone", ""),
+        kind=e.get("machineType", ""),
+        cell=e.get("cell", 0),
+        size=e.get("weight", 1.0),
+        launched=e.get("startedAtMs", 0) / 1000,
+    )
+
+
+def read_list(o: dict[str, Any]) -> TargetList:
+    items = o.get("instances") or ()
+    return TargetList(
+        generation=int(o["generation"]),
+        whole=bool(o.get("reset")),
+        entries=tuple(read_entry(e) for e in items),
+        addresses={e["instanceId"]: read_address(e["hostPort"]) for e in items if e.get("hostPort")},
+    )
+
+
+def read_config(o: dict[str, Any], env: Mapping[str, str]) -> Config:
+    """The environment's names win over the file's, as they are what the platform started with."""
+    counter = o.get("counter")
+    return Config(
+        name=env.get("GW_NAME") or o["name"],
+        listen=read_address(env.get("GW_LISTEN") or o["listen"]),
+        discovery=read_address(env.get("GW_DISCOVERY") or o["discovery"]),
+        counter=read_address(counter) if counter else None,
+        seed=int(o["seed"], 16),
+        sockets=int((o.get("limits") or {}).get("sockets") or 1024),
+        known=read_list(o.get("known") or {"generation": 0, "reset": True}),
+        settings=drill.read_settings(o["settings"]),
+    )
+
+
+def load(env: Mapping[str, str], path: str | None = None) -> Config:
+    """Read it all, or say in one line what is wrong."""
+    path = path or env.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set and no file is named")
+    try:
+        return read_config(json.loads(Path(path).read_text()), env)
+    except OSError as e:
+        raise ConfigError(f"can't read {path}: {e.strerror}") from None
+    except json.JSONDecodeError as e:
+        raise ConfigError(f"{path} is not JSON: {e}") from None
+    except KeyError as e:
+        raise ConfigError(f"{path}: missing field or unknown word {e}") from None
+    except (ValueError, TypeError, AttributeError) as e:
+        raise ConfigError(f"{path}: {e}") from None
--- /dev/null
+++ b/latchspoke/core.py
@@ -0,0 +1,250 @@
+"""The core: flows and their forwards between the decision module and the ports.
+
+No I/O, no HTTP and no clock here: every call brings the time, and what is to be done goes to the
+ports. A second protocol brings ports of its own.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+
+from barleyhub import interface as api
+from barleyhub.choice import Gateway
+
+log = logging.getLogger(__name__)
+
+# s; forwards end this long before the client gives up, so that the final answer still arrives.
+ANSWER_MARGIN = 0.02
+LEAST_PART = 0.25  # of a very short deadline is the margin at most
+
+
+class Timer(Protocol):
+    """What ``Ports.schedule`` gives."""
+
+    def cancel(self) -> None: ...
+
+
+class Client(Protocol):
+    """Where the one final answer of a flow goes."""
+
+    def served(self, answer: object) -> None: ...
+
+    def refused(self, retry_after: float | None) -> None: ...
+
+    def failed(self) -> None: ...
+
+
+class Ports(Protocol):
+    """What the core has done for it."""
+
+    def forward(self, forward: Forward) -> None:
+        """Send it; report its end with ``Core.ended``."""
+
+    def drop(self, forward: Forward) -> None:
+        """Stop waiting for it."""
+
+    def count(self, name: int, amount: float, life: float) -> None:
+        """Call the counter; report with ``Core.counted``."""
+
+    def schedule(self, when: float, call: Callable[[float], None]) -> Timer: ...
+
+
+class Flow:
+    """A request in hand; ``message`` is the ports' own and the core never looks into it."""
+
+    __slots__ = ("client", "closed", "forwards", "message", "out", "request", "timer", "until")
+
+    def __init__(self, request: api.Request, message: object, client: Client, now: float) -> None:
+        self.request, self.message, self.client = request, message, client
+        self.until = now + request.left - min(ANSWER_MARGIN, request.left * LEAST_PART)
+        self.forwards: list[Forward] = []
+        self.out, self.closed = 0, False
+        self.timer: Timer | None = None
+
+
+class Forward:
+    """One attempt of a flow at a target; ``link`` is for the port that carries it."""
+
+    __slots__ = ("ended", "flow", "link", "number", "sent_at", "target", "timer", "until")
+
+    def __init__(self, flow: Flow, target: str, now: float, until: float) -> None:
+        self.flow, self.target, self.sent_at, self.until = flow, target, now, until
+        self.number, self.ended = len(flow.forwards), False
+        self.timer: Timer | None = None
+        self.link: object = None
+
+
+class Core:
+    """Feeds events to the decision module and carries out its actions."""
+
+    def __init__(self, gateway: Gateway, ports: Ports, stats: Counter[str]) -> None:
+        self.gateway, self.ports, self.stats = gateway, ports, stats
+        self.flows: dict[str, Flow] = {}
+        self.events: deque[tuple[api.Event, float]] = deque()
+        self.acting = False
+
+    def start(self, now: float) -> None:
+        for action in self.gateway.start(now):
+            self.act(action, now)
+
+    def refusal(self, request: api.Request) -> str | None:
+        """Why a request can't be taken, if it can't: the module raises on names it doesn't know."""
+        if request.service not in self.gateway.classes:
+            return "unknown class"
+        if request.plan not in self.gateway.plans:
+            return "unknown plan"
+        # Two flows of one id would be one job to the module, and one of them never answered.
+        return "id in use" if request.request in self.flows else None
+
+    def arrived(self, request: api.Request, message: object, client: Client, now: float) -> Flow:
+        """A request that ``refusal`` has nothing against has come whole."""
+        flow = self.flows[request.request] = Flow(request, message, client, now)
+        flow.timer = self.ports.schedule(flow.until, lambda late: self.expire(flow, late))
+        self.stats["flows.taken"] += 1
+        self.give(request, now)
+        return flow
+
+    def withdrawn(self, flow: Flow, now: float) -> None:
+        """The client has left: nothing more is owed to it."""
+        if not flow.closed:
+            self.stats["flows.withdrawn"] += 1
+            self.close(flow)
+            self.give(api.Withdrawn(flow.request.request), now)
+
+    def ended(
+        self,
+        forward: Forward,
+        code: api.Code,
+        now: float,
+        answer: object = None,
+        report: dict[str, float] | None = None,
+    ) -> None:
+        """A forward is over. Only its first end counts: a late one may follow a time-out."""
+        if forward.ended:
+            return
+        forward.ended, flow = True, forward.flow
+        if forward.timer is not None:
+            forward.timer.cancel()
+        flow.out -= 1
+        self.stats[f"forwards.{code.value}"] += 1
+        if code is api.Code.OK and not flow.closed:
+            self.stats["flows.served"] += 1
+            flow.client.served(answer)
+            self.close(flow)
+        else:
+            self.forget(flow)
+        took = now - forward.sent_at
+        request = flow.request.request
+        self.give(
+            api.Outcome(
+                request, forward.number, forward.target, code, took, flow.closed, report=report or {}
+            ),
+            now,
+        )
+
+    def counted(self, name: int, code: api.Code, took: float, total: float, now: float) -> None:
+        self.stats[f"counter.{code.value}"] += 1
+        self.give(api.CountAnswer(name, code, took, total), now)
+
+    def listed(self, servers: api.ServerList, now: float) -> None:
+        self.give(servers, now)
+
+    def give(self, event: api.Event, now: float) -> None:
+        """One event at a time: ``handle`` isn't re-entrant, and actions may raise further events."""
+        self.events.append((event, now))
+        if self.acting:
+            return
+        self.acting = True
+        while self.events:
+            event, now = self.events.popleft()
+            try:
+                for action in self.gateway.handle(event, now):
+                    self.act(action, now)
+            except Exception:  # a fault in one decision must not end the flows of all others
+                self.stats["errors"] += 1
+                log.exception("decision failed on %s", type(event).__name__)
+        self.acting = False
+
+    def act(self, action: api.Action, now: float) -> None:
+        match action:
+            case api.Send(request, target, timeout):
+                self.send(request, target, timeout, now)
+            case api.Refuse(request, pause):
+                if flow := self.final(request, "flows.refused"):
+                    flow.client.refused(pause)
+            case api.Fail(request):
+                if flow := self.final(request, "flows.failed"):
+                    flow.client.failed()
+            case api.AddCount(name, amount, life):
+                self.stats["counter.calls"] += 1
+                self.ports.count(name, amount, life)
+            case api.Cancel(request, attempt):
+                self.cancel(request, attempt, now)
+            case api.SetTimer(after, mark):
+                self.ports.schedule(now + after, lambda late: self.give(api.TimerFired(mark), late))
+            case api.Log(text):
+                log.info("module: %s", text)
+            case api.Follow():
+                pass  # the ports always follow discovery
+            case _:
+                log.warning("no port for %s", type(action).__name__)
+
+    def send(self, request: str, target: str, timeout: float | None, now: float) -> None:
+        flow = self.flows.get(request)
+        if flow is None:
+            log.warning("a send for no flow: %s", request)
+            return
+        until = flow.until if timeout is None else min(flow.until, now + timeout)
+        forward = Forward(flow, target, now, until)
+        flow.forwards.append(forward)
+        flow.out += 1
+        if flow.closed or until <= now:
+            self.ended(forward, api.Code.MOOT, now)
+            return
+        if until < flow.until:
+            forward.timer = self.ports.schedule(until, lambda late: self.overdue(forward, late))
+        self.ports.forward(forward)
+
+    def cancel(self, request: str, attempt: int, now: float) -> None:
+        flow = self.flows.get(request)
+        if flow is not None and attempt < len(flow.forwards) and not flow.forwards[attempt].ended:
+            self.ports.drop(flow.forwards[attempt])
+            self.ended(flow.forwards[attempt], api.Code.CANCELLED, now)
+
+    def overdue(self, forward: Forward, now: float) -> None:
+        if not forward.ended:
+            self.ports.drop(forward)
+            self.ended(forward, api.Code.TIMEOUT, now)
+
+    def expire(self, flow: Flow, now: float) -> None:
+        """The client gives up soon: what is out ends, and a flow nobody has answered fails."""
+        for forward in list(flow.forwards):
+            self.overdue(forward, now)
+        if not flow.closed:
+            self.stats["flows.overdue"] += 1
+            self.close(flow)
+            flow.client.failed()
+            self.give(api.Withdrawn(flow.request.request), now)
+
+    def final(self, request: str, name: str) -> Flow | None:
+        """The flow that gets its final answer now; each gets one only."""
+        flow = self.flows.get(request)
+        if flow is None or flow.closed:
+            return None
+        self.stats[name] += 1
+        self.close(flow)
+        return flow
+
+    def close(self, flow: Flow) -> None:
+        flow.closed = True
+        self.forget(flow)
+
+    def forget(self, flow: Flow) -> None:
+        """A flow is kept while anything of it is out, so that each outcome finds it."""
+        if flow.closed and not flow.out:
+            if flow.timer is not None:
+                flow.timer.cancel()
+            self.flows.pop(flow.request.request, None)
--- /dev/null
+++ b/latchspoke/net/clock.py
@@ -0,0 +1,59 @@
+"""Time for all parts: one clock, and one heap of timers behind a single timer of the loop's."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import time
+from collections.abc import Callable
+
+
+class Timer:
+    __slots__ = ("call", "when")
+
+    def __init__(self, when: float, call: Callable[[float], None]) -> None:
+        self.when = when
+        self.call: Callable[[float], None] | None = call
+
+    def __lt__(self, other: Timer) -> bool:
+        return self.when < other.when
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Clock:
+    """Unix time, so that gateways agree on it and on its periods; it never jumps."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.origin = time.time() - time.monotonic()
+        self.heap: list[Timer] = []
+        self.handle: asyncio.TimerHandle | None = None
+        self.armed = float("inf")
+
+    def now(self) -> float:
+        return self.origin + time.monotonic()
+
+    def schedule(self, when: float, call: Callable[[float], None]) -> Timer:
+        timer = Timer(when, call)
+        heapq.heappush(self.heap, timer)
+        if when < self.armed:
+            self.arm(when)
+        return timer
+
+    def arm(self, when: float) -> None:
+        if self.handle is not None:
+            self.handle.cancel()
+        self.armed = when
+        self.handle = self.loop.call_later(max(when - self.now(), 0.0), self.fire)
+
+    def fire(self) -> None:
+        """Call what is due; the loop's timers may be up to a millisecond early."""
+        now, self.handle, self.armed = self.now(), None, float("inf")
+        while self.heap and (self.heap[0].call is None or self.heap[0].when <= now):
+            call = heapq.heappop(self.heap).call
+            if call is not None:
+                call(now)
+        if self.heap and self.heap[0].when < self.armed:
+            self.arm(self.heap[0].when)
--- /dev/null
+++ b/latchspoke/net/counter.py
@@ -0,0 +1,184 @@
+"""The counter's side: calls pipelined on a few kept connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import cast
+
+import httptools
+
+from barleyhub import interface as api
+from latchspoke.config import Address
+from latchspoke.core import Core
+from latchspoke.net.http import Connection, ParserError, Shared, parse_error
+
+LINES = 2  # connections; a name always takes the same one, which keeps its calls in order
+IDLE_MOST = 5.0  # s; the counter closes idle connections after some 10 s
+SILENT_MOST = 3.0  # s without any answer while some are owed: a new connection is due
+
+
+class Call:
+    """One call; ``done`` once its outcome was told, though its answer may still come."""
+
+    __slots__ = ("amount", "done", "life", "made_at", "name", "written")
+
+    def __init__(self, name: int, amount: float, life: float, now: float) -> None:
+        self.name, self.amount, self.life, self.made_at = name, amount, life, now
+        self.written = self.done = False
+
+    def line(self) -> bytes:
+        life = max(round(self.life * 1000), 1)
+        return (
+            f"POST /v2/numbers/{self.name}?delta={self.amount:.6f}&life_ms={life} HTTP/1.1\r\n"
+            "Host: counter\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
+
+
+class CounterConnection(Connection):
+    """Answers come in the order of the calls: each is matched with the oldest that is owed one."""
+
+    side = "counter"
+
+    def __init__(self, line: CounterLine) -> None:
+        super().__init__(line.shared)
+        self.line = line
+        self.owed: deque[Call] = deque()
+        self.heard_at = self.opened_at
+        self.parser = httptools.HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.heard_at = self.shared.clock.now()
+        self.line.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (*ParserError, httptools.HttpParserUpgrade) as e:
+            self.end(parse_error(e).reason)
+
+    def on_message_complete(self) -> None:
+        self.heard_at = self.shared.clock.now()
+        if not self.owed:
+            self.end("unasked")
+            return
+        call = self.owed.popleft()
+        self.messages += 1
+        status, total = self.parser.get_status_code(), 0.0
+        code = api.Code.FULL if status == 503 else api.Code.UNREACHABLE
+        if status == 200:
+            try:
+                code, total = api.Code.OK, float(self.body)
+            except ValueError:
+                code = api.Code.TIMEOUT  # added, but by what it says nobody can go
+        elif status != 503:
+            self.shared.stats[f"counter.status_{status}"] += 1
+        if call.done:
+            self.shared.stats["counter.late"] += 1
+        self.line.end_call(call, code, total)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.line.closed(self)
+
+
+class CounterLine:
+    """One kept connection to the counter, opened when there is a call for it."""
+
+    def __init__(self, shared: Shared, core: Core, address: Address, limit: float) -> None:
+        self.shared, self.core, self.address, self.limit = shared, core, address, limit
+        self.connection: CounterConnection | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.waiting: deque[Call] = deque()
+
+    def call(self, call: Call) -> None:
+        now = call.made_at
+        self.shared.clock.schedule(now + self.limit, lambda late: self.overdue(call))
+        if self.connection is not None:
+            self.write(self.connection, call)
+            return
+        self.waiting.append(call)
+        if self.opening is None:
+            self.opening = asyncio.get_running_loop().create_task(self.open())
+
+    async def open(self) -> None:
+        connection = CounterConnection(self)
+        connection.peer = f"{self.address[0]}:{self.address[1]}"
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
+        except (OSError, asyncio.CancelledError):
+            if connection.transport is None:
+                connection.code = "unreachable"
+                connection.release()
+                self.opening = None
+                waiting, self.waiting = self.waiting, deque()
+                for call in waiting:
+                    self.end_call(call, api.Code.UNREACHABLE)
+
+    def opened(self, connection: CounterConnection) -> None:
+        self.connection, self.opening = connection, None
+        while self.waiting:
+            call = self.waiting.popleft()
+            if not call.done:
+                self.write(connection, call)
+
+    def write(self, connection: CounterConnection, call: Call) -> None:
+        assert connection.transport is not None
+        call.written = True
+        connection.owed.append(call)
+        connection.transport.write(call.line())
+
+    def closed(self, connection: CounterConnection) -> None:
+        if self.connection is connection:
+            self.connection = None
+        # Written whole and not answered: it may have been added.
+        while connection.owed:
+            self.end_call(connection.owed.popleft(), api.Code.TIMEOUT)
+
+    def overdue(self, call: Call) -> None:
+        """Unwritten, it was surely not added; written, it may yet be, and its answer is passed over."""
+        self.end_call(call, api.Code.TIMEOUT if call.written else api.Code.UNREACHABLE)
+
+    def end_call(self, call: Call, code: api.Code, total: float = 0.0) -> None:
+        if not call.done:
+            call.done = True
+            now = self.shared.clock.now()
+            self.core.counted(call.name, code, now - call.made_at, total, now)
+
+    def sweep(self, now: float) -> None:
+        connection = self.connection
+        if connection is not None:
+            silent = now - connection.heard_at
+            if connection.owed and now - max(connection.owed[0].made_at, connection.heard_at) > SILENT_MOST:
+                self.connection = None
+                connection.end("silent")
+            elif not connection.owed and silent > IDLE_MOST:
+                self.connection = None
+                connection.end("idle", flush=True)
+
+
+class Counter:
+    """The counter as the core's port."""
+
+    def __init__(self, shared: Shared, address: Address | None, settings: api.Settings) -> None:
+        self.shared, self.limit = shared, settings.counter_limit
+        self.address = address
+        self.core = cast(Core, None)  # set once the core is made
+        self.lines: list[CounterLine] = []
+
+    def bind(self, core: Core) -> None:
+        self.core = core
+        if self.address is not None:
+            self.lines = [CounterLine(self.shared, core, self.address, self.limit) for _ in range(LINES)]
+
+    def count(self, name: int, amount: float, life: float) -> None:
+        now = self.shared.clock.now()
+        if not self.lines:
+            self.core.counted(name, api.Code.UNREACHABLE, 0.0, 0.0, now)
+            return
+        self.lines[name % len(self.lines)].call(Call(name, amount, life, now))
+
+    def sweep(self, now: float) -> None:
+        for line in self.lines:
+            line.sweep(now)
--- /dev/null
+++ b/latchspoke/net/discovery.py
@@ -0,0 +1,139 @@
+"""Discovery's side: a watch that is renewed whenever it breaks or falls silent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+import httptools
+
+from latchspoke.config import Address, ConfigError, TargetList, read_list
+from latchspoke.net.http import MOST_BODY, Connection, ParserError, Shared, parse_error
+
+log = logging.getLogger(__name__)
+
+SILENT_MOST = 5.0  # s; a watch brings an empty line each 2 s
+OPEN_MOST = 2.0  # s; to connect
+BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries
+MOST_LINE = 64 * MOST_BODY
+
+
+class WatchConnection(Connection):
+    side = "discovery"
+
+    def __init__(self, watch: Watch) -> None:
+        super().__init__(watch.shared)
+        self.watch = watch
+        self.heard_at = self.opened_at
+        self.rest = b""
+        self.parser = httptools.HttpResponseParser(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        line = f"GET /api/targets?stream=1&index={self.watch.generation} HTTP/1.1\r\nHost: discovery\r\n\r\n"
+        assert self.transport is not None
+        self.transport.write(line.encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self.shared.clock.now()
+        try:
+            self.parser.feed_data(data)
+        except (*ParserError, httptools.HttpParserUpgrade) as e:
+            self.end(parse_error(e).reason)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        if self.parser.get_status_code() != 200:
+            self.end("bad_status")
+
+    def on_body(self, part: bytes) -> None:
+        """A line may come in pieces; only whole ones are read."""
+        *lines, self.rest = (self.rest + part).split(b"\n")
+        for line in lines:
+            self.take(line)
+        if len(self.rest) > MOST_LINE:
+            self.end("oversize")
+
+    def take(self, line: bytes) -> None:
+        self.messages += 1
+        if not line.strip():
+            self.watch.alive()
+            return
+        try:
+            told = read_list(json.loads(line))
+        except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as e:
+            log.warning("discovery's line can't be read: %r", e)
+            self.end("bad_line")
+            return
+        self.watch.told(told)
+
+    def on_message_complete(self) -> None:
+        self.end("watch_ended")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
+        self.watch.lost()
+
+
+class Watch:
+    """Keeps one watch going, from the last version heard of."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        address: Address,
+        generation: int,
+        on_list: Callable[[TargetList], None],
+        on_alive: Callable[[], None],
+    ) -> None:
+        self.shared, self.address, self.generation = shared, address, generation
+        self.on_list, self.on_alive = on_list, on_alive
+        self.connection: WatchConnection | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.wait = BACKOFF_LEAST
+        self.stopped = False
+
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.open())
+
+    async def open(self) -> None:
+        connection = self.connection = WatchConnection(self)
+        connection.peer = f"{self.address[0]}:{self.address[1]}"
+        opening = asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
+        try:
+            await asyncio.wait_for(opening, OPEN_MOST)
+        except (OSError, asyncio.CancelledError):
+            if connection.transport is None:
+                connection.code = "unreachable"
+                connection.release()
+                self.lost()
+
+    def alive(self) -> None:
+        self.wait = BACKOFF_LEAST
+        self.on_alive()
+
+    def told(self, told: TargetList) -> None:
+        self.wait = BACKOFF_LEAST
+        self.generation = told.generation
+        self.on_list(told)
+
+    def lost(self) -> None:
+        self.connection = None
+        if not self.stopped:
+            self.shared.clock.schedule(self.shared.clock.now() + self.wait, lambda now: self.start())
+            self.wait = min(self.wait * 2, BACKOFF_MOST)
+
+    def sweep(self, now: float) -> None:
+        """A machine that vanished says nothing: silence is all there is to see."""
+        connection = self.connection
+        if connection is None or connection.transport is None:
+            return
+        if now - connection.heard_at > SILENT_MOST:
+            connection.end("silent")
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.connection is not None:
+            self.connection.end("drained")
--- /dev/null
+++ b/latchspoke/net/http.py
@@ -0,0 +1,178 @@
+"""HTTP/1.1 framing and the life of a connection, shared by all sides."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, cast
+
+import httptools
+
+from latchspoke.net.clock import Clock
+from latchspoke.net.stats import Stats
+
+log = logging.getLogger("latchspoke.connection")
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+REASONS = {
+    100: "Continue",
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
+
+
+class FramingError(Exception):
+    """What came in can't be taken; the status says how to answer it."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+class Message:
+    """What of a client's request is passed on."""
+
+    __slots__ = ("body", "content_type", "id", "method", "url")
+
+    def __init__(self, method: bytes, url: bytes, ident: bytes, body: bytes, content_type: bytes) -> None:
+        self.method, self.url, self.id, self.body, self.content_type = method, url, ident, body, content_type
+
+
+class Answer:
+    """A target's whole answer."""
+
+    __slots__ = ("body", "content_type")
+
+    def __init__(self, body: bytes, content_type: bytes) -> None:
+        self.body, self.content_type = body, content_type
+
+
+def response(status: int, body: bytes = b"", headers: str = "", close: bool = False) -> bytes:
+    end = "Connection: close\r\n" if close else ""
+    text = REASONS.get(status, "Unknown")
+    head = f"HTTP/1.1 {status} {text}\r\nContent-Length: {len(body)}\r\n{headers}{end}\r\n"
+    return head.encode("latin-1") + body
+
+
+class Sockets:
+    """The sockets of the whole process, against its limit."""
+
+    # Kept free for what is not counted: standard streams, the loop's own, the listener.
+    RESERVE = 32
+
+    def __init__(self, limit: int) -> None:
+        self.most, self.used = max(limit - self.RESERVE, 8), 0
+
+    @property
+    def left(self) -> int:
+        return self.most - self.used
+
+
+class Shared:
+    """What every connection needs of the process."""
+
+    def __init__(self, clock: Clock, stats: Stats, sockets: Sockets) -> None:
+        self.clock, self.stats, self.sockets = clock, stats, sockets
+
+
+class Connection(asyncio.Protocol):
+    """One connection: parses messages, keeps its reason to end, and logs one line when it has."""
+
+    side = "?"
+
+    def __init__(self, shared: Shared) -> None:
+        self.shared = shared
+        self.transport: asyncio.Transport | None = None
+        self.peer = "?"
+        self.code = ""
+        self.lost = False
+        self.messages = 0
+        self.opened_at = shared.clock.now()
+        shared.sockets.used += 1
+        self.begin()
+
+    # The parser's callbacks.
+
+    def begin(self) -> None:
+        self.headers: dict[bytes, bytes] = {}
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.started = False
+        self.headed = False
+
+    def on_message_begin(self) -> None:
+        self.begin()
+        self.started = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.headed = True
+        self.size = 0
+
+    def on_body(self, part: bytes) -> None:
+        self.size += len(part)
+        if self.size > MOST_BODY:
+            raise FramingError(413, "oversize")
+        self.parts.append(part)
+
+    @property
+    def body(self) -> bytes:
+        return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+
+    # The transport's callbacks.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        peer: Any = transport.get_extra_info("peername")
+        self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
+
+    def eof_received(self) -> bool | None:
+        self.code = self.code or "peer_closed"
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        self.code = self.code or ("peer_reset" if exc else "peer_closed")
+        self.release()
+
+    def release(self) -> None:
+        """The connection has ended: its socket is free again, and one line says why it ended."""
+        self.shared.sockets.used -= 1
+        age = self.shared.clock.now() - self.opened_at
+        self.shared.stats[f"closed.{self.side}.{self.code}"] += 1
+        log.info(
+            "side=%s peer=%s code=%s messages=%d age=%.3f",
+            self.side, self.peer, self.code, self.messages, age,
+        )  # fmt: skip
+
+    def end(self, code: str, flush: bool = False) -> None:
+        """Close, for this reason; what was written goes out first only if flush is set."""
+        self.code = self.code or code
+        if self.transport is not None:
+            if flush:
+                self.transport.close()
+            else:
+                self.transport.abort()
+
+
+def parse_error(error: Exception) -> FramingError:
+    """The parser wraps what its callbacks raise."""
+    inner: BaseException | None = error
+    while inner is not None:
+        if isinstance(inner, FramingError):
+            return inner
+        inner = inner.__cause__ or inner.__context__
+    return FramingError(400, "not_http")
+
+
+ParserError = (httptools.HttpParserError, FramingError)
--- /dev/null
+++ b/latchspoke/net/serve.py
@@ -0,0 +1,136 @@
+"""Puts the parts together, and runs them from start to SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import signal
+import sys
+from collections.abc import Callable
+
+import uvloop
+
+from barleyhub import interface as api
+from barleyhub.choice import Gateway
+from latchspoke.config import Config, TargetList
+from latchspoke.core import Core, Forward
+from latchspoke.net.clock import Clock, Timer
+from latchspoke.net.counter import Counter
+from latchspoke.net.discovery import Watch
+from latchspoke.net.http import Shared, Sockets
+from latchspoke.net.listener import ClientConnection, Listener
+from latchspoke.net.stats import Stats
+from latchspoke.net.target import TargetGroup
+
+log = logging.getLogger(__name__)
+
+SWEEP = 1.0  # s between looks at what is idle, silent or unfinished
+READY_AFTER = 1.0  # s; if discovery says nothing, the list known at the start must do
+DRAIN_TIME = 0.5  # s after SIGTERM in which new connections still come
+
+
+class Ports:
+    """The core's ports on sockets."""
+
+    def __init__(self, group: TargetGroup, counter: Counter, clock: Clock) -> None:
+        self.group, self.counter, self.clock = group, counter, clock
+
+    def forward(self, forward: Forward) -> None:
+        self.group.forward(forward)
+
+    def drop(self, forward: Forward) -> None:
+        self.group.drop(forward)
+
+    def count(self, name: int, amount: float, life: float) -> None:
+        self.counter.count(name, amount, life)
+
+    def schedule(self, when: float, call: Callable[[float], None]) -> Timer:
+        return self.clock.schedule(when, call)
+
+
+class Node:
+    """One gateway on its sockets."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock, self.stats = config, clock, Stats()
+        self.shared = Shared(clock, self.stats, Sockets(config.sockets))
+        self.group = TargetGroup(self.shared, config.settings)
+        self.counter = Counter(self.shared, config.counter, config.settings)
+        ports = Ports(self.group, self.counter, clock)
+        self.core = Core(Gateway(config.seed, config.settings), ports, self.stats)
+        self.group.core = self.core
+        self.counter.bind(self.core)
+        self.listener = Listener(self.shared, self.core, self.group.free_one)
+        self.watch = Watch(self.shared, config.discovery, config.known.generation, self.listed, self.ready)
+        self.server: asyncio.Server | None = None
+        self.done = asyncio.get_running_loop().create_future()
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = self.clock.now()
+        self.core.start(now)
+        self.group.listed(self.config.known)
+        self.core.listed(api.ServerList(api.ListForm.SAVED, self.config.known.entries), now)
+        host, port = self.config.listen
+        self.server = await loop.create_server(
+            lambda: ClientConnection(self.listener), host, port, backlog=1024
+        )
+        for number, call in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop)):
+            loop.add_signal_handler(number, call)
+        loop.add_signal_handler(signal.SIGUSR1, self.stats.show)
+        self.watch.start()
+        self.clock.schedule(now + READY_AFTER, lambda late: self.ready())
+        self.clock.schedule(now + SWEEP, self.sweep)
+        gc.collect()
+        gc.freeze()  # what lives from start to end need not be walked again and again
+        log.info("%s serves on %s:%d", self.config.name, host, port)
+        await self.done
+        self.stats.show()
+
+    def listed(self, told: TargetList) -> None:
+        self.group.listed(told)
+        form = api.ListForm.WHOLE if told.whole else api.ListForm.CHANGES
+        self.core.listed(api.ServerList(form, told.entries), self.clock.now())
+        self.ready()
+
+    def ready(self) -> None:
+        self.listener.ready = not self.listener.stopping
+
+    def sweep(self, now: float) -> None:
+        self.clock.schedule(now + SWEEP, self.sweep)
+        for part in (self.group, self.counter, self.watch, self.listener):
+            part.sweep(now)
+
+    def stop(self) -> None:
+        """New connections still come for a while: they are taken, and answered with a close."""
+        if self.listener.stopping:
+            return
+        log.info("%s stops", self.config.name)
+        self.listener.stopping, self.listener.ready = True, False
+        self.listener.close_idle()
+        self.clock.schedule(self.clock.now() + DRAIN_TIME, self.drained)
+
+    def drained(self, now: float) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.listener.close_idle()
+        if self.listener.busy:
+            self.clock.schedule(now + 0.02, self.drained)
+            return
+        self.watch.stop()
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+async def start(config: Config) -> None:
+    await Node(config, Clock(asyncio.get_running_loop())).run()
+
+
+def serve(config: Config) -> None:
+    logging.basicConfig(
+        stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(name)s %(message)s",
+        datefmt="%Y-%m-%dT%H:%M:%S",
+    )  # fmt: skip
+    uvloop.run(start(config))
