Bound counter amounts below 1e9 by ending periods after 16 depths

Checked: the counter answers 400 to amounts above 1e9, and nothing is added. An amount is units times e^(phase/depth) (Account.weight), and PERIOD_DEPTHS = 40 lets that factor reach e^40. By the site's ranges the depth of duza and pelna is 1.06 to 2.8 s, so that with the shortest depths one unit passes 1e9 after 22 to 25 s of a period of 42 to 48 s: for nearly half of the time no call is taken.

Change: PERIOD_DEPTHS 40 -> 16, at whose end 112 units still fit one call, and Account.tell keeps what would pass AMOUNT_MOST for the next call.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -16,7 +16,8 @@
 ROOM, ROOM_UNITS = 1.1, 0.5  # the room: so many bursts and so many of the largest requests more
 DRAIN = 1.2  # times the rate at which a full room drains; the average is stricter than a store
 PERIOD_MAX = 48.0  # s; names are forgotten 60 s after their first call at the latest
-PERIOD_DEPTHS = 40.0  # a period lasts at most this many depths: amounts grow by e for each
+PERIOD_DEPTHS = 16.0  # a period lasts at most this many depths: amounts grow by e for each
+AMOUNT_MOST = 1e9  # the counter turns away any larger amount: 112 units at the end of a period
 OPEN_DEPTH = 0.2  # share of the mean aim; depth for plans that limit only what is out at once
 OPEN_ROOM = 0.7  # attempts under a concurrency limit at which what is likely out is too much
 FIT_GAIN, FIT_SLOPE = 0.05, 3.0  # how requests of a plan fare that got a total; chance of the others
@@ -139,10 +140,9 @@
         if tally.flying is not None:
             return
         tally.period = int(now // account.period)
-        tally.flying, tally.pending = tally.pending, 0.0
+        amount = account.tell(tally, now, AMOUNT_MOST)
         name = account.name(tally)
         self.calls[name] = (account, tally)
-        amount = tally.flying * account.weight(tally, now)
         self.actions.append(api.AddCount(name, amount, account.period + 10))
 
     def on_countanswer(self, event: api.CountAnswer, now: float) -> None:
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -55,6 +55,13 @@
         """What a unit adds now: later ones weigh more, so that a total is an average that fades."""
         return math.exp((now - tally.period * self.period) / self.depth)
 
+    def tell(self, tally: Tally, now: float, most: float) -> float:
+        """Put what is pending in flight and give its amount; what passes the most is told with the next."""
+        weight = self.weight(tally, now)
+        tally.flying = min(max(tally.pending, -most / weight), most / weight)
+        tally.pending -= tally.flying
+        return tally.flying * weight
+
     def name(self, tally: Tally) -> int:
         """The count's name in its period: a stable digest, the same at all gateways."""
         text = f"{self.customer}\n{tally.kind}\n{self.plan.name}\n{tally.period}"
