Play recorded byte exchanges against the program without sockets

The parts opened connections on their own; now one Dialer does, in net/http.py, and a test can stand in for it. tests/player.py plays text files of bytes against a whole node on a clock set by hand.

--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -14,6 +14,7 @@
 from latchspoke.net.http import Connection, ParserError, Shared, parse_error
 
 LINES = 2  # connections; a name always takes the same one, which keeps its calls in order
+OPEN_MOST = 1.0  # s; to connect; a call waits for it no longer than its own limit
 IDLE_MOST = 5.0  # s; the counter closes idle connections after some 10 s
 SILENT_MOST = 3.0  # s without any answer while some are owed: a new connection is due
 
@@ -52,6 +53,9 @@
         self.heard_at = self.shared.clock.now()
         self.line.opened(self)
 
+    def on_unopened(self) -> None:
+        self.line.unopened()
+
     def data_received(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
@@ -89,7 +93,7 @@
     def __init__(self, shared: Shared, core: Core, address: Address, limit: float) -> None:
         self.shared, self.core, self.address, self.limit = shared, core, address, limit
         self.connection: CounterConnection | None = None
-        self.opening: asyncio.Task[None] | None = None
+        self.opening: CounterConnection | None = None
         self.waiting: deque[Call] = deque()
 
     def call(self, call: Call) -> None:
@@ -100,21 +104,14 @@
             return
         self.waiting.append(call)
         if self.opening is None:
-            self.opening = asyncio.get_running_loop().create_task(self.open())
-
-    async def open(self) -> None:
-        connection = CounterConnection(self)
-        connection.peer = f"{self.address[0]}:{self.address[1]}"
-        try:
-            await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
-        except (OSError, asyncio.CancelledError):
-            if connection.transport is None:
-                connection.code = "unreachable"
-                connection.release()
-                self.opening = None
-                waiting, self.waiting = self.waiting, deque()
-                for call in waiting:
-                    self.end_call(call, api.Code.UNREACHABLE)
+            self.opening = CounterConnection(self)
+            self.opening.dial(self.address, OPEN_MOST)
+
+    def unopened(self) -> None:
+        self.opening = None
+        waiting, self.waiting = self.waiting, deque()
+        for call in waiting:
+            self.end_call(call, api.Code.UNREACHABLE)
 
     def opened(self, connection: CounterConnection) -> None:
         self.connection, self.opening = connection, None
--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -36,6 +36,9 @@
         assert self.transport is not None
         self.transport.write(line.encode())
 
+    def on_unopened(self) -> None:
+        self.watch.lost()
+
     def data_received(self, data: bytes) -> None:
         self.heard_at = self.shared.clock.now()
         try:
@@ -91,24 +94,12 @@
         self.shared, self.address, self.generation = shared, address, generation
         self.on_list, self.on_alive = on_list, on_alive
         self.connection: WatchConnection | None = None
-        self.task: asyncio.Task[None] | None = None
         self.wait = BACKOFF_LEAST
         self.stopped = False
 
     def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self.open())
-
-    async def open(self) -> None:
-        connection = self.connection = WatchConnection(self)
-        connection.peer = f"{self.address[0]}:{self.address[1]}"
-        opening = asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
-        try:
-            await asyncio.wait_for(opening, OPEN_MOST)
-        except (OSError, asyncio.CancelledError):
-            if connection.transport is None:
-                connection.code = "unreachable"
-                connection.release()
-                self.lost()
+        self.connection = WatchConnection(self)
+        self.connection.dial(self.address, OPEN_MOST)
 
     def alive(self) -> None:
         self.wait = BACKOFF_LEAST
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any, cast
 
 import httptools
 
+from latchspoke.config import Address
 from latchspoke.net.clock import Clock
 from latchspoke.net.stats import Stats
 
@@ -76,11 +78,29 @@
         return self.most - self.used
 
 
+class Dialer:
+    """Opens connections. That takes a task for each of them, not for each request: they are kept."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+
+    def dial(self, connection: Connection, address: Address) -> Callable[[], object]:
+        """Begin to open it; the call that comes back stops this."""
+        return self.loop.create_task(self.open(connection, address)).cancel
+
+    async def open(self, connection: Connection, address: Address) -> None:
+        try:
+            await self.loop.create_connection(lambda: connection, *address)
+        except (OSError, asyncio.CancelledError):
+            if connection.transport is None:
+                connection.unopened("unreachable")
+
+
 class Shared:
     """What every connection needs of the process."""
 
-    def __init__(self, clock: Clock, stats: Stats, sockets: Sockets) -> None:
-        self.clock, self.stats, self.sockets = clock, stats, sockets
+    def __init__(self, clock: Clock, stats: Stats, sockets: Sockets, dialer: Dialer) -> None:
+        self.clock, self.stats, self.sockets, self.dialer = clock, stats, sockets, dialer
 
 
 class Connection(asyncio.Protocol):
@@ -91,6 +111,7 @@
     def __init__(self, shared: Shared) -> None:
         self.shared = shared
         self.transport: asyncio.Transport | None = None
+        self.stop_dialling: Callable[[], object] | None = None
         self.peer = "?"
         self.code = ""
         self.lost = False
@@ -99,6 +120,25 @@
         shared.sockets.used += 1
         self.begin()
 
+    def dial(self, address: Address, limit: float) -> None:
+        """Open it from this side, within the limit; ``on_unopened`` tells if that fails."""
+        self.peer = f"{address[0]}:{address[1]}"
+        self.stop_dialling = self.shared.dialer.dial(self, address)
+        self.shared.clock.schedule(self.shared.clock.now() + limit, self.dial_overdue)
+
+    def dial_overdue(self, now: float) -> None:
+        if self.transport is None:
+            self.end("connect_timeout")
+
+    def unopened(self, code: str) -> None:
+        if not self.lost:
+            self.lost, self.code = True, self.code or code
+            self.release()
+            self.on_unopened()
+
+    def on_unopened(self) -> None:
+        """It never came up."""
+
     # The parser's callbacks.
 
     def begin(self) -> None:
@@ -158,11 +198,13 @@
     def end(self, code: str, flush: bool = False) -> None:
         """Close, for this reason; what was written goes out first only if flush is set."""
         self.code = self.code or code
-        if self.transport is not None:
-            if flush:
-                self.transport.close()
-            else:
-                self.transport.abort()
+        if self.transport is None:
+            if self.stop_dialling is not None:
+                self.stop_dialling()
+        elif flush:
+            self.transport.close()
+        else:
+            self.transport.abort()
 
 
 def parse_error(error: Exception) -> FramingError:
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -18,7 +18,7 @@
 from latchspoke.net.clock import Clock, Timer
 from latchspoke.net.counter import Counter
 from latchspoke.net.discovery import Watch
-from latchspoke.net.http import Shared, Sockets
+from latchspoke.net.http import Dialer, Shared, Sockets
 from latchspoke.net.listener import ClientConnection, Listener
 from latchspoke.net.stats import Stats
 from latchspoke.net.target import TargetGroup
@@ -27,6 +27,7 @@
 
 SWEEP = 1.0  # s between looks at what is idle, silent or unfinished
 READY_AFTER = 1.0  # s; if discovery says nothing, the list known at the start must do
+BACKLOG = 1024  # connections that the kernel holds for the listener
 DRAIN_TIME = 0.5  # s after SIGTERM in which new connections still come
 
 
@@ -52,9 +53,9 @@
 class Node:
     """One gateway on its sockets."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
+    def __init__(self, config: Config, clock: Clock, dialer: Dialer) -> None:
         self.config, self.clock, self.stats = config, clock, Stats()
-        self.shared = Shared(clock, self.stats, Sockets(config.sockets))
+        self.shared = Shared(clock, self.stats, Sockets(config.sockets), dialer)
         self.group = TargetGroup(self.shared, config.settings)
         self.counter = Counter(self.shared, config.counter, config.settings)
         ports = Ports(self.group, self.counter, clock)
@@ -64,29 +65,17 @@
         self.listener = Listener(self.shared, self.core, self.group.free_one)
         self.watch = Watch(self.shared, config.discovery, config.known.generation, self.listed, self.ready)
         self.server: asyncio.Server | None = None
-        self.done = asyncio.get_running_loop().create_future()
+        self.on_done: Callable[[], object] = lambda: None
 
-    async def run(self) -> None:
-        loop = asyncio.get_running_loop()
+    def start(self) -> None:
+        """Everything but the listening socket."""
         now = self.clock.now()
         self.core.start(now)
         self.group.listed(self.config.known)
         self.core.listed(api.ServerList(api.ListForm.SAVED, self.config.known.entries), now)
-        host, port = self.config.listen
-        self.server = await loop.create_server(
-            lambda: ClientConnection(self.listener), host, port, backlog=1024
-        )
-        for number, call in ((signal.SIGTERM, self.stop), (signal.SIGINT, self.stop)):
-            loop.add_signal_handler(number, call)
-        loop.add_signal_handler(signal.SIGUSR1, self.stats.show)
         self.watch.start()
         self.clock.schedule(now + READY_AFTER, lambda late: self.ready())
         self.clock.schedule(now + SWEEP, self.sweep)
-        gc.collect()
-        gc.freeze()  # what lives from start to end need not be walked again and again
-        log.info("%s serves on %s:%d", self.config.name, host, port)
-        await self.done
-        self.stats.show()
 
     def listed(self, told: TargetList) -> None:
         self.group.listed(told)
@@ -120,12 +109,27 @@
             self.clock.schedule(now + 0.02, self.drained)
             return
         self.watch.stop()
-        if not self.done.done():
-            self.done.set_result(None)
-
-
-async def start(config: Config) -> None:
-    await Node(config, Clock(asyncio.get_running_loop())).run()
+        self.on_done()
+
+
+async def run(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    node = Node(config, Clock(loop), Dialer(loop))
+    host, port = config.listen
+    node.server = await loop.create_server(
+        lambda: ClientConnection(node.listener), host, port, backlog=BACKLOG
+    )
+    done = asyncio.Event()
+    node.on_done = done.set
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stop)
+    loop.add_signal_handler(signal.SIGUSR1, node.stats.show)
+    node.start()
+    gc.collect()
+    gc.freeze()  # what lives from start to end need not be walked again and again
+    log.info("%s serves on %s:%d", config.name, host, port)
+    await done.wait()
+    node.stats.show()
 
 
 def serve(config: Config) -> None:
@@ -133,4 +137,4 @@
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(name)s %(message)s",
         datefmt="%Y-%m-%dT%H:%M:%S",
     )  # fmt: skip
-    uvloop.run(start(config))
+    uvloop.run(run(config))
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -38,20 +38,11 @@
         super().__init__(group.shared)
         self.group, self.target = group, target
         self.forward: Forward | None = forward
-        self.task: asyncio.Task[None] | None = None
         self.idle_since = 0.0
         self.parser = httptools.HttpResponseParser(self)
 
-    async def open(self, address: Address) -> None:
-        """Connect. This is a task for each connection, not for each request: kept ones serve many."""
-        try:
-            await asyncio.get_running_loop().create_connection(lambda: self, *address)
-        except (OSError, asyncio.CancelledError):
-            if not self.lost and self.transport is None:
-                self.lost = True
-                self.code = self.code or "unreachable"
-                self.release()
-                self.finish(api.Code.UNREACHABLE)
+    def on_unopened(self) -> None:
+        self.finish(api.Code.UNREACHABLE)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -60,16 +51,6 @@
         else:
             self.group.write(self)
 
-    def connect_overdue(self, now: float) -> None:
-        if self.transport is None and not self.lost:
-            self.code = self.code or "connect_timeout"
-            self.abandon()
-
-    def abandon(self) -> None:
-        """Stop waiting for the connection to open."""
-        if self.task is not None:
-            self.task.cancel()
-
     def data_received(self, data: bytes) -> None:
         if self.forward is None:
             self.end("unasked")
@@ -204,10 +185,8 @@
             return
         self.shared.stats["targets.opened"] += 1
         connection = TargetConnection(self, target, forward)
-        connection.peer = f"{target.address[0]}:{target.address[1]}"
         forward.link = connection
-        connection.task = asyncio.get_running_loop().create_task(connection.open(target.address))
-        self.shared.clock.schedule(now + self.connect_limit, connection.connect_overdue)
+        connection.dial(target.address, self.connect_limit)
 
     def write(self, connection: TargetConnection) -> None:
         """The last look before the first byte: the target may have begun to drain meanwhile."""
@@ -238,11 +217,7 @@
         forward.link = None
         if isinstance(connection, TargetConnection):
             connection.forward = None
-            if connection.transport is None:
-                connection.code = "cancelled"
-                connection.abandon()
-            else:
-                connection.end("cancelled")
+            connection.end("cancelled")
 
     def keep(self, connection: TargetConnection) -> None:
         if connection.target.active and len(connection.target.idle) < KEPT:
--- /dev/null
+++ b/tests/player.py
@@ -0,0 +1,227 @@
+"""Plays a recorded exchange of bytes against the program: no sockets, and a clock set by hand.
+
+An exchange is a text file, one step a line; ``#`` begins a remark, ``NAME`` is a connection:
+
+    config KEY=VALUE ...     settings for this exchange, before all other steps
+    let WORD TEXT            $WORD stands for TEXT from here on
+    open NAME                a client connects
+    dial NAME ADDRESS        the program has begun to open a connection; it comes up
+    dial NAME ADDRESS held   the same, but it does not come up yet; ``up NAME`` or ``refuse NAME`` follow
+    NAME > TEXT              bytes come in
+    NAME < TEXT              these bytes, and no others, have been written; ``*`` is any text
+    NAME eof | NAME reset    the other side ends it
+    NAME closed CODE         the program has ended it, for this reason
+    time SECONDS             the clock moves on, and what is due is called
+    term                     SIGTERM
+    done                     the program has ended
+    stats KEY=VALUE ...      these counters stand so
+
+At the end nothing may have been written, dialled or closed that no step has named.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+from latchspoke.config import Address, read_config
+from latchspoke.net import clock, http, serve
+from latchspoke.net.listener import ClientConnection
+from tests.test_drill import OPTIONS
+
+FOLDER = Path(__file__).parent / "exchanges"
+START = 1_800_000_000.0
+
+
+class FakeLoop:
+    """Only a time and the timers asked for."""
+
+    def __init__(self) -> None:
+        self.timers: list[tuple[float, Callable[[], None]]] = []
+        self.now = START
+
+    def call_later(self, delay: float, call: Callable[[], None]) -> FakeLoop:
+        self.timers = [(self.now + delay, call)]  # the clock has one timer at a time
+        return self
+
+    def cancel(self) -> None:
+        self.timers = []
+
+
+class FakeClock(clock.Clock):
+    loop: Any
+
+    def __init__(self) -> None:
+        super().__init__(cast(asyncio.AbstractEventLoop, FakeLoop()))
+
+    def now(self) -> float:
+        return float(self.loop.now)
+
+    def advance(self, seconds: float) -> None:
+        end = self.loop.now + seconds
+        while self.loop.timers and self.loop.timers[0][0] <= end:
+            when, call = self.loop.timers.pop()
+            self.loop.now = max(when, self.loop.now)
+            call()
+        self.loop.now = end
+
+
+class FakeTransport:
+    """Keeps what was written; ``ended`` once the program has closed it."""
+
+    def __init__(self, connection: http.Connection) -> None:
+        self.connection, self.written, self.ended, self.unsent = connection, b"", False, 0
+
+    def write(self, data: bytes) -> None:
+        assert not self.ended, "written after the close"
+        self.written += data
+
+    def write_eof(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.ended = True
+
+    abort = close
+
+    def is_closing(self) -> bool:
+        return self.ended
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def get_extra_info(self, name: str) -> None:
+        return None
+
+
+class Player:
+    def __init__(self, changes: dict[str, Any]) -> None:
+        self.clock = FakeClock()
+        self.words: dict[str, str] = {}
+        self.dialled: list[tuple[http.Connection, Address]] = []
+        self.links: dict[str, FakeTransport] = {}
+        self.named: set[str] = set()  # connections whose end a step has named
+        self.done = False
+        self.node = serve.Node(read_config(configuration(changes), {}), self.clock, cast(http.Dialer, self))
+        self.node.on_done = self.finished
+        self.node.start()
+
+    def finished(self) -> None:
+        self.done = True
+
+    def dial(self, connection: http.Connection, address: Address) -> Callable[[], object]:
+        """The program's dialler."""
+        self.dialled.append((connection, address))
+        return lambda: connection.unopened("unreachable")
+
+    def up(self, name: str) -> None:
+        link = self.links[name]
+        link.connection.connection_made(cast(asyncio.Transport, link))
+        self.settle()
+
+    def settle(self) -> None:
+        """A transport tells of its end only after the call that ended it."""
+        for link in list(self.links.values()):
+            if link.ended and not link.connection.lost:
+                link.connection.connection_lost(None)
+
+    def step(self, line: str) -> None:
+        for word, text in self.words.items():
+            line = line.replace(f"${word}", text)
+        head, _, rest = line.partition(" ")
+        match head:
+            case "let":
+                word, _, text = rest.partition(" ")
+                self.words[word] = text
+            case "open":
+                self.links[rest] = FakeTransport(ClientConnection(self.node.listener))
+                self.up(rest)
+            case "dial":
+                self.expect_dial(*rest.split())
+            case "up":
+                self.up(rest)
+            case "refuse":
+                self.links[rest].connection.unopened("unreachable")
+                self.named.add(rest)
+            case "time":
+                self.clock.advance(float(rest))
+            case "term":
+                self.node.stop()
+            case "done":
+                assert self.done, "the program has not ended"
+            case "stats":
+                told = dict(item.split("=") for item in rest.split())
+                assert told == {key: str(self.node.stats[key]) for key in told}, self.node.stats
+            case _:
+                self.bytes(head, *rest.split(" ", 1))
+        self.settle()
+
+    def expect_dial(self, name: str, address: str, held: str = "") -> None:
+        assert self.dialled, "nothing was dialled"
+        connection, (host, port) = self.dialled.pop(0)
+        assert f"{host}:{port}" == address, f"dialled {host}:{port}"
+        self.links[name] = FakeTransport(connection)
+        if not held:
+            self.up(name)
+
+    def bytes(self, name: str, verb: str, text: str = "") -> None:
+        link = self.links[name]
+        raw = text.encode().decode("unicode_escape").encode("latin-1")
+        match verb:
+            case ">":
+                link.connection.data_received(raw)
+            case "<":
+                pattern = b".*".join(re.escape(part) for part in raw.split(b"*"))
+                assert re.fullmatch(pattern, link.written, re.S), f"{name} was written {link.written!r}"
+                link.written = b""
+            case "eof" | "reset":
+                self.named.add(name)
+                if verb == "eof":
+                    link.connection.eof_received()
+                link.connection.connection_lost(None if verb == "eof" else ConnectionResetError())
+            case "closed":
+                self.named.add(name)
+                code = link.connection.code
+                assert link.connection.lost and code == text, f"{name} has ended: {code!r}"
+            case _:
+                raise AssertionError(f"no such step: {verb}")
+
+    def check_end(self) -> None:
+        assert not self.dialled, f"dialled beside the steps: {self.dialled[0][1]}"
+        for name, link in self.links.items():
+            assert not link.written, f"{name} was written {link.written!r}"
+            assert name in self.named or not link.connection.lost, f"{name}: {link.connection.code}"
+
+
+def configuration(changes: dict[str, Any]) -> dict[str, Any]:
+    """One target, a plan too wide to refuse, and no counter; ``changes`` overrule this."""
+    options = json.loads(json.dumps(OPTIONS))
+    options["Allowed"] |= {"RetryAfter": True, "MaxRetryAfterNs": 2 * 10**9}
+    options["Tariffs"] = [{"Name": "basic", "Refill": 100.0, "MostAtOnce": changes.get("burst", 100.0)}]
+    options["Categories"][0]["LateWorth"] = 0.2
+    options["Domain"]["SharedCounter"] = bool(changes.get("counter"))
+    entry = {"instanceId": "s1", "hostPort": "127.0.0.9:1", "lifecycle": "in_service"}
+    return {
+        "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.2:2", "counter": "127.0.0.3:3",
+        "seed": "7", "limits": {"sockets": changes.get("sockets", 1024)}, "settings": options,
+        "known": {"generation": 41, "reset": True, "instances": [entry] * changes.get("targets", 1)},
+    }  # fmt: skip
+
+
+def play(path: Path) -> None:
+    lines = [line for line in path.read_text().splitlines() if line and not line.startswith("#")]
+    changes: dict[str, Any] = {}
+    if lines[0].startswith("config "):
+        changes = {k: float(v) for k, _, v in (item.partition("=") for item in lines.pop(0).split()[1:])}
+        changes = {k: int(v) if v.is_integer() else v for k, v in changes.items()}
+    player = Player(changes)
+    for line in lines:
+        try:
+            player.step(line)
+        except AssertionError as e:
+            raise AssertionError(f"{path.name}: {line}\n{e}") from e
+    player.check_end()
