Let cancelled timers no longer wake the loop

Seen: each flow leaves a cancelled timer at its deadline and each counter call one at its limit, and Clock armed the loop for both although nothing was left to call.

Ruled out: waiting in line on the counter's connections. Calls take 7 ms at least and 8 ms mostly, the same on two connections as on eight, so that is the counter's own time.

--- a/latchspoke/net/clock.py
+++ b/latchspoke/net/clock.py
@@ -9,10 +9,10 @@
 
 
 class Timer:
-    __slots__ = ("call", "when")
+    __slots__ = ("call", "clock", "when")
 
-    def __init__(self, when: float, call: Callable[[float], None]) -> None:
-        self.when = when
+    def __init__(self, clock: Clock, when: float, call: Callable[[float], None]) -> None:
+        self.clock, self.when = clock, when
         self.call: Callable[[float], None] | None = call
 
     def __lt__(self, other: Timer) -> bool:
@@ -20,6 +20,8 @@
 
     def cancel(self) -> None:
         self.call = None
+        if self.clock.heap and self.clock.heap[0] is self:
+            self.clock.settle()
 
 
 class Clock:
@@ -36,7 +38,7 @@
         return self.origin + time.monotonic()
 
     def schedule(self, when: float, call: Callable[[float], None]) -> Timer:
-        timer = Timer(when, call)
+        timer = Timer(self, when, call)
         heapq.heappush(self.heap, timer)
         if when < self.armed:
             self.arm(when)
@@ -48,12 +50,22 @@
         self.armed = when
         self.handle = self.loop.call_later(max(when - self.now(), 0.0), self.fire)
 
+    def settle(self) -> None:
+        """Pass over what was cancelled. Nearly all timers are, and to wake for one costs more than this."""
+        while self.heap and self.heap[0].call is None:
+            heapq.heappop(self.heap)
+        if not self.heap:
+            if self.handle is not None:
+                self.handle.cancel()
+            self.handle, self.armed = None, float("inf")
+        elif self.heap[0].when != self.armed:
+            self.arm(self.heap[0].when)
+
     def fire(self) -> None:
         """Call what is due; the loop's timers may be up to a millisecond early."""
         now, self.handle, self.armed = self.now(), None, float("inf")
-        while self.heap and (self.heap[0].call is None or self.heap[0].when <= now):
+        while self.heap and self.heap[0].when <= now:
             call = heapq.heappop(self.heap).call
             if call is not None:
                 call(now)
-        if self.heap and self.heap[0].when < self.armed:
-            self.arm(self.heap[0].when)
+        self.settle()
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -11,6 +11,7 @@
 from barleyhub import interface as api
 from latchspoke.config import Address
 from latchspoke.core import Core
+from latchspoke.net.clock import Timer
 from latchspoke.net.http import Connection, ParserError, Shared, parse_error
 
 LINES = 2  # connections; a name always takes the same one, which keeps its calls in order
@@ -22,11 +23,12 @@
 class Call:
     """One call; ``done`` once its outcome was told, though its answer may still come."""
 
-    __slots__ = ("amount", "done", "life", "made_at", "name", "written")
+    __slots__ = ("amount", "done", "life", "made_at", "name", "timer", "written")
 
     def __init__(self, name: int, amount: float, life: float, now: float) -> None:
         self.name, self.amount, self.life, self.made_at = name, amount, life, now
         self.written = self.done = False
+        self.timer: Timer | None = None
 
     def line(self) -> bytes:
         life = max(round(self.life * 1000), 1)
@@ -98,7 +100,7 @@
 
     def call(self, call: Call) -> None:
         now = call.made_at
-        self.shared.clock.schedule(now + self.limit, lambda late: self.overdue(call))
+        call.timer = self.shared.clock.schedule(now + self.limit, lambda late: self.overdue(call))
         if self.connection is not None:
             self.write(self.connection, call)
             return
@@ -140,6 +142,8 @@
     def end_call(self, call: Call, code: api.Code, total: float = 0.0) -> None:
         if not call.done:
             call.done = True
+            if call.timer is not None:
+                call.timer.cancel()
             now = self.shared.clock.now()
             self.core.counted(call.name, code, now - call.made_at, total, now)
 
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -10,7 +10,7 @@
 import httptools
 
 from latchspoke.config import Address
-from latchspoke.net.clock import Clock
+from latchspoke.net.clock import Clock, Timer
 from latchspoke.net.stats import Stats
 
 log = logging.getLogger("latchspoke.connection")
@@ -111,6 +111,7 @@
     def __init__(self, shared: Shared) -> None:
         self.shared = shared
         self.transport: asyncio.Transport | None = None
+        self.dial_timer: Timer | None = None
         self.stop_dialling: Callable[[], object] | None = None
         self.peer = "?"
         self.code = ""
@@ -124,7 +125,7 @@
         """Open it from this side, within the limit; ``on_unopened`` tells if that fails."""
         self.peer = f"{address[0]}:{address[1]}"
         self.stop_dialling = self.shared.dialer.dial(self, address)
-        self.shared.clock.schedule(self.shared.clock.now() + limit, self.dial_overdue)
+        self.dial_timer = self.shared.clock.schedule(self.shared.clock.now() + limit, self.dial_overdue)
 
     def dial_overdue(self, now: float) -> None:
         if self.transport is None:
@@ -173,6 +174,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.dial_timer is not None:
+            self.dial_timer.cancel()
         peer: Any = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
 
