Read once what a customer's requests share, and put answers together from bytes

Change: the customer, class and terms are read once for each text (bounded caches), answers are joined as bytes from prepared heads, and the module finds the handler of an event in a table.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -10,7 +10,7 @@
 
 from barleyhub import interface as api
 from barleyhub.interface import Code, Group, ListForm, Repeat, ServerState
-from barleyhub.state import AccountState, GatewayState, Health, Job, Pool, Server, Tally, kept
+from barleyhub.state import HANDLERS, AccountState, GatewayState, Health, Job, Pool, Server, Tally, kept
 
 MARGIN = 0.1  # s; a client is answered, a keyed window closed this early
 ROOM, ROOM_UNITS = 1.1, 0.5  # the room: so many bursts and so many of the largest requests more
@@ -125,7 +125,7 @@
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
         self.actions = []
-        handler = getattr(self, f"on_{type(event).__name__.lower()}", None)
+        handler = getattr(self, HANDLERS.get(type(event).__name__, ""), None)
         if handler is not None:
             handler(event, now)
         return self.actions
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -5,9 +5,13 @@
 import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import get_args
 
 from barleyhub import interface as api
 
+# The method that takes each kind of event.
+HANDLERS = {kind.__name__: f"on_{kind.__name__.lower()}" for kind in get_args(api.Event)}
+
 
 def kept(gap: float, depth: float) -> float:
     """The weight left of what was known a gap ago, in an average over depth."""
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -57,11 +57,12 @@
         self.body, self.content_type = body, content_type
 
 
-def response(status: int, body: bytes = b"", headers: str = "", close: bool = False) -> bytes:
-    end = "Connection: close\r\n" if close else ""
-    text = REASONS.get(status, "Unknown")
-    head = f"HTTP/1.1 {status} {text}\r\nContent-Length: {len(body)}\r\n{headers}{end}\r\n"
-    return head.encode("latin-1") + body
+HEADS = {status: f"HTTP/1.1 {status} {text}\r\nContent-Length: ".encode() for status, text in REASONS.items()}
+
+
+def response(status: int, body: bytes = b"", headers: bytes = b"", close: bool = False) -> bytes:
+    end = b"Connection: close\r\n\r\n" if close else b"\r\n"
+    return b"%b%d\r\n%b%b%b" % (HEADS[status], len(body), headers, end, body)
 
 
 class Sockets:
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import lru_cache
 
 import httptools
 
@@ -43,37 +44,46 @@
     return value
 
 
-def read_customer(url: bytes) -> str:
+# The same customers come again and again, so what their requests share is read once. The number of
+# entries bounds the memory: a URL has at most MOST_HEAD bytes.
+@lru_cache(1024)
+def read_url(url: bytes, kind: bytes) -> tuple[str, str]:
+    """The customer and the class."""
+    if not url.startswith(b"/" + kind) or url[len(kind) + 1 : len(kind) + 2] not in (b"", b"/", b"?"):
+        raise bad("path and class differ")
     for part in url.partition(b"?")[2].split(b"&"):
         name, _, value = part.partition(b"=")
         if name == b"key" and value and HEX.issuperset(value):
-            return value.decode()
+            return value.decode(), kind.decode("latin-1")
     raise bad("no customer's key")
 
 
+@lru_cache(1024)
+def read_terms(text: bytes) -> tuple[float, int, int]:
+    """Units, spread, and the first gateway of the set."""
+    terms: dict[str, str] = {}
+    for item in text.decode("latin-1").split(","):
+        name, _, value = item.strip().partition("=")
+        terms[name] = value
+    return (
+        read_number(terms.get("units", "1"), "units"),
+        int(read_number(terms.get("spread", "1"), "spread", 1)),
+        int(read_number(terms.get("first", "0"), "first")),
+    )
+
+
 def read_request(url: bytes, headers: dict[bytes, bytes]) -> api.Request:
     """The module's request from the line and headers; raises what is to be answered."""
-    ident, kind, plan = (headers.get(name) for name in (b"req-id", b"req-kind", b"x-tier"))
+    ident, kind, plan = headers.get(b"req-id"), headers.get(b"req-kind"), headers.get(b"x-tier")
     if not ident or not kind or not plan:
         raise bad("no id, class or plan")
-    if not url.startswith(b"/" + kind) or url[len(kind) + 1 : len(kind) + 2] not in (b"", b"/", b"?"):
-        raise bad("path and class differ")
-    terms: dict[str, str] = {}
-    for item in headers.get(b"x-call-terms", b"").decode("latin-1").split(","):
-        name, _, value = item.strip().partition("=")
-        terms[name] = value
+    customer, service = read_url(url, kind)
+    units, spread, first = read_terms(headers.get(b"x-call-terms", b""))
     left = read_number(headers.get(b"req-deadline", b""), "deadline")
     if left <= 0:
         raise bad("deadline is over")
     return api.Request(
-        request=ident.decode("latin-1"),
-        customer=read_customer(url),
-        service=kind.decode("latin-1"),
-        plan=plan.decode("latin-1"),
-        units=read_number(terms.get("units", "1"), "units"),
-        left=left,
-        spread=int(read_number(terms.get("spread", "1"), "spread", 1)),
-        set_from=int(read_number(terms.get("first", "0"), "first")),
+        ident.decode("latin-1"), customer, service, plan.decode("latin-1"), units, left, spread, first
     )
 
 
@@ -191,14 +201,12 @@
 
     def served(self, answer: object) -> None:
         assert isinstance(answer, Answer)
-        kind = answer.content_type.decode("latin-1")
-        self.write(
-            response(200, answer.body, f"Content-Type: {kind}\r\n" if kind else "", close=self.closing)
-        )
+        kind = answer.content_type
+        self.write(response(200, answer.body, b"Content-Type: %b\r\n" % kind if kind else b"", self.closing))
 
     def refused(self, retry_after: float | None) -> None:
-        pause = "" if retry_after is None else f"Retry-After: {retry_after:.3f}\r\n"
-        self.write(response(429, headers=pause, close=self.closing))
+        pause = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
+        self.write(response(429, b"", pause, self.closing))
 
     def failed(self) -> None:
         self.write(response(502, close=self.closing))
