--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -183,3 +183,8 @@
     def sweep(self, now: float) -> None:
         for line in self.lines:
             line.sweep(now)
+
+    def stop(self) -> None:
+        for line in self.lines:
+            if line.connection is not None:
+                line.connection.end("drained", flush=True)
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -108,7 +108,8 @@
         if self.listener.busy:
             self.clock.schedule(now + 0.02, self.drained)
             return
-        self.watch.stop()
+        for part in (self.watch, self.group, self.counter):
+            part.stop()
         self.on_done()
 
 
@@ -129,6 +130,7 @@
     gc.freeze()  # what lives from start to end need not be walked again and again
     log.info("%s serves on %s:%d", config.name, host, port)
     await done.wait()
+    await asyncio.sleep(0)  # connections tell of their end on the loop's next round
     node.stats.show()
 
 
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -232,6 +232,10 @@
             while target.idle and now - target.idle[0].idle_since >= self.idle_limit:
                 target.idle.pop(0).end("idle")
 
+    def stop(self) -> None:
+        for target in self.targets.values():
+            target.close_idle("drained")
+
     def free_one(self) -> bool:
         """Close the connection that has been idle longest, of all targets."""
         heads = [target.idle for target in self.targets.values() if target.idle]
