Call timers due within a millisecond, and hold no flow longer than its class

Seen in review: the loop counts in ms and rounds, so a timer that is 0.4 ms early was armed again with no delay, and spun until it was due; and a client's Req-Deadline of 1e9 would have held a flow, its connection and its forward on a vanished target for good.

Change: Clock.fire calls what is due within a tick; Core.arrived bounds the time left by the class's give_up. Core.arrived no longer puts the flow to the module itself, which spares the listener a stand-in for a flow under way.

--- a/latchspoke/core.py
+++ b/latchspoke/core.py
@@ -9,6 +9,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 from barleyhub import interface as api
@@ -100,13 +101,20 @@
         return "id in use" if request.request in self.flows else None
 
     def arrived(self, request: api.Request, message: object, client: Client, now: float) -> Flow:
-        """A request that ``refusal`` has nothing against has come whole."""
+        """A request that ``refusal`` has nothing against has come whole; ``begin`` is to follow."""
+        # Nobody waits longer than the class says, so no flow is held for longer either.
+        most = self.gateway.classes[request.service].give_up
+        if request.left > most:
+            request = replace(request, left=most)
         flow = self.flows[request.request] = Flow(request, message, client, now)
         flow.timer = self.ports.schedule(flow.until, lambda late: self.expire(flow, late))
         self.stats["flows.taken"] += 1
-        self.give(request, now)
         return flow
 
+    def begin(self, flow: Flow, now: float) -> None:
+        """Put it to the module, whose answer may be final already."""
+        self.give(flow.request, now)
+
     def withdrawn(self, flow: Flow, now: float) -> None:
         """The client has left: nothing more is owed to it."""
         if not flow.closed:
--- a/latchspoke/net/clock.py
+++ b/latchspoke/net/clock.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Callable
 
+TICK = 0.001  # s; the loop's timers are no finer
+
 
 class Timer:
     __slots__ = ("call", "clock", "when")
@@ -62,9 +64,9 @@
             self.arm(self.heap[0].when)
 
     def fire(self) -> None:
-        """Call what is due; the loop's timers may be up to a millisecond early."""
+        """Call what is due, or will be before the loop, which counts in ms, could call again."""
         now, self.handle, self.armed = self.now(), None, float("inf")
-        while self.heap and self.heap[0].when <= now:
+        while self.heap and self.heap[0].when <= now + TICK:
             call = heapq.heappop(self.heap).call
             if call is not None:
                 call(now)
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections import deque
-from typing import cast
 
 import httptools
 
@@ -162,10 +161,11 @@
 class Counter:
     """The counter as the core's port."""
 
+    core: Core  # comes once it is made, as it needs this port
+
     def __init__(self, shared: Shared, address: Address | None, settings: api.Settings) -> None:
         self.shared, self.limit = shared, settings.counter_limit
         self.address = address
-        self.core = cast(Core, None)  # set once the core is made
         self.lines: list[CounterLine] = []
 
     def bind(self, core: Core) -> None:
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -182,11 +182,9 @@
         message = Message(
             method, self.url, self.headers[b"req-id"], self.body, self.headers.get(b"content-type", b"")
         )
-        # The flow may be answered before this call returns.
-        self.flow = PENDING
-        flow = core.arrived(request, message, self, self.shared.clock.now())
-        if self.flow is PENDING:
-            self.flow = flow
+        now = self.shared.clock.now()
+        self.flow = core.arrived(request, message, self, now)
+        core.begin(self.flow, now)
 
     def status(self, path: bytes) -> None:
         ready = path == b"/-/healthy" or (path == b"/-/ready" and self.listener.ready)
@@ -226,13 +224,10 @@
         super().connection_lost(exc)
         self.listener.clients.discard(self)
         flow, self.flow = self.flow, None
-        if flow is not None and flow is not PENDING:
+        if flow is not None:
             self.listener.core.withdrawn(flow, self.shared.clock.now())
 
 
-PENDING: Flow = object.__new__(Flow)  # stands for a flow that the core is just taking in
-
-
 class Listener:
     """All clients' connections."""
 
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import cast
 
 import httptools
 
@@ -128,9 +127,10 @@
 class TargetGroup:
     """All targets; carries forwards to them."""
 
+    core: Core  # comes once it is made, as it needs this port
+
     def __init__(self, shared: Shared, settings: api.Settings) -> None:
         self.shared = shared
-        self.core = cast(Core, None)  # set once the core is made
         self.idle_limit = settings.conn_idle * IDLE_PART
         self.connect_limit = settings.connect_limit
         self.targets: dict[str, Target] = {}
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,37 @@
+"""The timers: what the loop is asked to wake for."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.player import FakeClock
+
+
+class Timers(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.called: list[str] = []
+
+    def set(self, after: float, name: str) -> object:
+        return self.clock.schedule(self.clock.now() + after, lambda now: self.called.append(name))
+
+    def test_in_order_of_time(self) -> None:
+        for after, name in ((3.0, "c"), (1.0, "a"), (2.0, "b")):
+            self.set(after, name)
+        self.clock.advance(2.5)
+        self.assertEqual(self.called, ["a", "b"])
+
+    def test_a_cancelled_timer_does_not_wake_the_loop(self) -> None:
+        """Nearly every timer is a deadline that is met: waking for each would cost more than they save."""
+        timer = self.clock.schedule(self.clock.now() + 1.0, lambda now: self.called.append("never"))
+        self.set(2.0, "then")
+        timer.cancel()
+        self.assertEqual([when - self.clock.now() for when, _ in self.clock.loop.timers], [2.0])
+        self.clock.advance(3.0)
+        self.assertEqual((self.called, self.clock.loop.timers), (["then"], []))
+
+    def test_an_early_wake_does_not_spin(self) -> None:
+        """The loop counts in ms and may call early: what is due within one is called, not waited for."""
+        self.set(0.0008, "soon")
+        self.clock.fire()
+        self.assertEqual(self.called, ["soon"])
