Spare the module two calculations that change no result

Server.errors worked out an exponential for each share of errors, though most are 0, and is asked of every server for every attempt; Account.advance worked out the same one twice for each request.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -59,8 +59,8 @@
     def advance(self, now: float) -> None:
         """Fade what is not told yet to now, and let this gateway's own parts refill."""
         gap, self.at, plan = max(now - self.at, 0.0), now, self.plan
-        for tally in (self.admitted, self.turned):
-            tally.pending *= kept(gap, self.depth)
+        left = kept(gap, self.depth)
+        self.admitted.pending, self.turned.pending = self.admitted.pending * left, self.turned.pending * left
         self.alone = min(self.alone + plan.rate / self.spread * gap, self.alone_most)
         # The quota's own units may be spent elsewhere on a total: only what is over them is split.
         rate = max(plan.ceiling_rate - DRAIN * plan.rate, 0.0) / self.spread
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -134,7 +134,9 @@
     def errors(self, names: tuple[str, ...], depth: float, now: float) -> float:
         """The shares of errors of this server, those it stands with, and these names on it, faded."""
         named = [self.faults[name] for name in names if name in self.faults]
-        return sum(health.errors * kept(now - health.at, depth) for health in (self.own, self.group, *named))
+        # Most have none, and this is asked of every server for every attempt.
+        known = [health for health in (self.own, self.group, *named) if health.errors]
+        return sum(health.errors * kept(now - health.at, depth) for health in known)
 
 
 @dataclass(slots=True, eq=False)
