Close a different idle client for each one too many

Seen in review: Listener.joined chose the client idle longest, but a transport tells of its end only on the loop's next round. Several clients accepted in one round all closed the same one, and the process stayed over its limit on sockets (12 clients against a limit of 8: 8 expected, more left).

Change: a connection that has a code is no longer idle (Listener.idle). test_listener.py fails without.

--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -247,7 +247,8 @@
         oldest.end("sockets")
 
     def idle(self, client: ClientConnection) -> bool:
-        return client.flow is None and not client.started and not client.ending
+        # One that has a code is closed already, though its transport has yet to say so.
+        return client.flow is None and not (client.started or client.ending or client.code)
 
     def sweep(self, now: float) -> None:
         """A request that never comes whole must not hold its connection for good."""
