Move the watch and the counter's calls to new addresses on SIGHUP

Now SIGHUP reads the file again. The file's discovery and counter win over GW_DISCOVERY (config.reload); a file that can't be used leaves all as it was, with one log line. The watch goes on from the version heard of; calls not yet written go to the new counter, and what is owed is still read on the old one. A dial that is called off before its first step now gives its socket back (Dialer.dial), which two SIGHUPs in a row bring about. Totals that are no plain number (nan, 1_0) no longer pass as totals; the call counts as timed out and its connection ends.

Checked: exchanges reload (two reloads in a row, a bad file, one after SIGTERM) and counter_spoilt; both fail without the change.

--- a/latchspoke/cli.py
+++ b/latchspoke/cli.py
@@ -7,7 +7,7 @@
   latchspoke -h | --help
 
 Commands:
-  serve         Run the gateway in the foreground until SIGTERM.
+  serve         Run the gateway in the foreground until SIGTERM; SIGHUP reads the configuration again.
   check-config  Read the configuration, say what it holds, and leave.
   version       Print the version.
 
@@ -26,7 +26,7 @@
 from docopt import DocoptExit, docopt
 
 from latchspoke import __version__
-from latchspoke.config import ConfigError, load
+from latchspoke.config import ConfigError, load, reload
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -54,7 +54,7 @@
     from latchspoke.net.serve import serve  # the sockets' libraries are loaded only to serve
 
     try:
-        serve(config)
+        serve(config, lambda: reload(os.environ, args["--config"]))
     except OSError as e:
         print(f"latchspoke: can't serve on {config.listen[0]}:{config.listen[1]}: {e}", file=sys.stderr)
         return 1
--- a/latchspoke/config.py
+++ b/latchspoke/config.py
@@ -80,6 +80,8 @@
 def read_config(o: dict[str, Any], env: Mapping[str, str]) -> Config:
     """The environment's names win over the file's, as they are what the platform started with."""
     counter = o.get("counter")
+    if counter is not None and not isinstance(counter, str):
+        raise ConfigError(f"not an address (host:port): {counter!r}")
     return Config(
         name=env.get("GW_NAME") or o["name"],
         listen=read_address(env.get("GW_LISTEN") or o["listen"]),
@@ -107,3 +109,8 @@
         raise ConfigError(f"{path}: missing field or unknown word {e}") from None
     except (ValueError, TypeError, AttributeError) as e:
         raise ConfigError(f"{path}: {e}") from None
+
+
+def reload(env: Mapping[str, str], path: str | None = None) -> Config:
+    """Read it again. The file has been replaced since the start, so it wins over GW_DISCOVERY now."""
+    return load({name: value for name, value in env.items() if name != "GW_DISCOVERY"}, path)
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -11,7 +11,7 @@
 from latchspoke.config import Address
 from latchspoke.core import Core
 from latchspoke.net.clock import Timer
-from latchspoke.net.http import Connection, ParserError, Shared, parse_error
+from latchspoke.net.http import Connection, FramingError, ParserError, Shared, parse_error, read_decimal
 
 LINES = 2  # connections; a name always takes the same one, which keeps its calls in order
 OPEN_MOST = 1.0  # s; to connect; a call waits for it no longer than its own limit
@@ -46,16 +46,29 @@
         super().__init__(line.shared)
         self.line = line
         self.owed: deque[Call] = deque()
+        self.retired = False  # a reload has named another address: no further call comes here
         self.heard_at = self.opened_at
         self.parser = httptools.HttpResponseParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.heard_at = self.shared.clock.now()
-        self.line.opened(self)
+        if self.retired:
+            self.end("reloaded")
+        else:
+            self.line.opened(self)
 
     def on_unopened(self) -> None:
-        self.line.unopened()
+        if not self.retired:
+            self.line.unopened()
+
+    def retire(self) -> None:
+        """What is owed is still read; a side that never tells it is not waited for."""
+        self.retired = True
+        if not self.owed:
+            self.end("reloaded", flush=True)
+        now = self.shared.clock.now()
+        self.shared.clock.schedule(now + SILENT_MOST, lambda late: self.end("reloaded"))
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -73,15 +86,19 @@
         status, total = self.parser.get_status_code(), 0.0
         code = api.Code.FULL if status == 503 else api.Code.UNREACHABLE
         if status == 200:
-            try:
-                code, total = api.Code.OK, float(self.body)
-            except ValueError:
-                code = api.Code.TIMEOUT  # added, but by what it says nobody can go
+            number = read_decimal(self.body.strip())
+            if number is None:
+                # Added, but by what it says nobody can go; nor by what follows on this connection.
+                self.line.end_call(call, api.Code.TIMEOUT)
+                raise FramingError(400, "bad_total")
+            code, total = api.Code.OK, number
         elif status != 503:
             self.shared.stats[f"counter.status_{status}"] += 1
         if call.done:
             self.shared.stats["counter.late"] += 1
         self.line.end_call(call, code, total)
+        if self.retired and not self.owed:
+            self.end("reloaded", flush=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
@@ -105,8 +122,21 @@
             return
         self.waiting.append(call)
         if self.opening is None:
-            self.opening = CounterConnection(self)
-            self.opening.dial(self.address, OPEN_MOST)
+            self.open()
+
+    def open(self) -> None:
+        self.opening = CounterConnection(self)
+        self.opening.dial(self.address, OPEN_MOST)
+
+    def move(self, address: Address) -> None:
+        """Calls go to this address from now on; those not written yet wait for it to come up."""
+        self.address = address
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.retire()
+        if self.opening is not None:
+            self.opening.retire()
+            self.open()
 
     def unopened(self) -> None:
         self.opening = None
@@ -173,6 +203,16 @@
         if self.address is not None:
             self.lines = [CounterLine(self.shared, core, self.address, self.limit) for _ in range(LINES)]
 
+    def move(self, address: Address | None) -> None:
+        """A reload has named this address. Names keep their lines, and so the order of their calls."""
+        if address is None or address == self.address:
+            return
+        self.address = address
+        for line in self.lines:
+            line.move(address)
+        if not self.lines:
+            self.bind(self.core)
+
     def count(self, name: int, amount: float, life: float) -> None:
         now = self.shared.clock.now()
         if not self.lines:
--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -37,7 +37,7 @@
         self.transport.write(line.encode())
 
     def on_unopened(self) -> None:
-        self.watch.lost()
+        self.watch.lost(self)
 
     def data_received(self, data: bytes) -> None:
         self.heard_at = self.shared.clock.now()
@@ -77,7 +77,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self.watch.lost()
+        self.watch.lost(self)
 
 
 class Watch:
@@ -98,6 +98,8 @@
         self.stopped = False
 
     def start(self) -> None:
+        if self.connection is not None or self.stopped:
+            return  # a reload came before this try
         self.connection = WatchConnection(self)
         self.connection.dial(self.address, OPEN_MOST)
 
@@ -110,7 +112,19 @@
         self.generation = told.generation
         self.on_list(told)
 
-    def lost(self) -> None:
+    def move(self, address: Address) -> None:
+        """Go on at this address at once, from the last version heard of: a reload has named it."""
+        if address == self.address:
+            return
+        self.address, self.wait = address, BACKOFF_LEAST
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.end("reloaded")
+        self.start()
+
+    def lost(self, connection: WatchConnection) -> None:
+        if connection is not self.connection:
+            return
         self.connection = None
         if not self.stopped:
             self.shared.clock.schedule(self.shared.clock.now() + self.wait, lambda now: self.start())
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -31,6 +32,14 @@
 }
 
 
+DECIMAL = re.compile(rb"[+-]?\d{1,32}(?:\.\d{0,32})?(?:[eE][+-]?\d{1,2})?")
+
+
+def read_decimal(text: bytes) -> float | None:
+    """The one reader of numbers from outside: plain decimals, and never nan, inf, 0x10 or 1_0."""
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
 class FramingError(Exception):
     """What came in can't be taken; the status says how to answer it."""
 
@@ -87,15 +96,16 @@
 
     def dial(self, connection: Connection, address: Address) -> Callable[[], object]:
         """Begin to open it; the call that comes back stops this."""
-        return self.loop.create_task(self.open(connection, address)).cancel
+        task = self.loop.create_task(self.loop.create_connection(lambda: connection, *address))
 
-    async def open(self, connection: Connection, address: Address) -> None:
-        try:
-            await self.loop.create_connection(lambda: connection, *address)
-        except (OSError, asyncio.CancelledError):
-            if connection.transport is None:
+        def settled(task: asyncio.Task[Any]) -> None:
+            # Also one that was stopped before its first step has given its socket back.
+            if (task.cancelled() or task.exception()) and connection.transport is None:
                 connection.unopened("unreachable")
 
+        task.add_done_callback(settled)
+        return task.cancel
+
 
 class Shared:
     """What every connection needs of the process."""
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -13,7 +13,7 @@
 
 from barleyhub import interface as api
 from barleyhub.choice import Gateway
-from latchspoke.config import Config, TargetList
+from latchspoke.config import Config, ConfigError, TargetList
 from latchspoke.core import Core, Forward
 from latchspoke.net.clock import Clock, Timer
 from latchspoke.net.counter import Counter
@@ -66,6 +66,7 @@
         self.watch = Watch(self.shared, config.discovery, config.known.generation, self.listed, self.ready)
         self.server: asyncio.Server | None = None
         self.on_done: Callable[[], object] = lambda: None
+        self.reread: Callable[[], Config] = lambda: config
 
     def start(self) -> None:
         """Everything but the listening socket."""
@@ -91,6 +92,23 @@
         for part in (self.group, self.counter, self.watch, self.listener):
             part.sweep(now)
 
+    def reload(self) -> None:
+        """SIGHUP: what the file names now wins; one that can't be used leaves all as it was."""
+        if self.listener.stopping:
+            return
+        try:
+            config = self.reread()
+        except ConfigError as e:
+            log.error("%s goes on as before, as the new configuration can't be used: %s", self.config.name, e)
+            return
+        self.watch.move(config.discovery)
+        self.counter.move(config.counter)
+        log.info(
+            "%s reloaded: discovery %s:%d, counter %s", self.config.name, *config.discovery, config.counter
+        )
+        if (config.listen, config.settings) != (self.config.listen, self.config.settings):
+            log.warning("%s: a new listen address or new settings take a restart", self.config.name)
+
     def stop(self) -> None:
         """New connections still come for a while: they are taken, and answered with a close."""
         if self.listener.stopping:
@@ -113,7 +131,7 @@
         self.on_done()
 
 
-async def run(config: Config) -> None:
+async def run(config: Config, reread: Callable[[], Config]) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config, Clock(loop), Dialer(loop))
     host, port = config.listen
@@ -122,8 +140,10 @@
     )
     done = asyncio.Event()
     node.on_done = done.set
+    node.reread = reread
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     loop.add_signal_handler(signal.SIGUSR1, node.stats.show)
     node.start()
     gc.collect()
@@ -134,9 +154,9 @@
     node.stats.show()
 
 
-def serve(config: Config) -> None:
+def serve(config: Config, reread: Callable[[], Config]) -> None:
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(name)s %(message)s",
         datefmt="%Y-%m-%dT%H:%M:%S",
     )  # fmt: skip
-    uvloop.run(run(config))
+    uvloop.run(run(config, reread))
--- a/tests/player.py
+++ b/tests/player.py
@@ -13,6 +13,7 @@
     NAME closed CODE         the program has ended it, for this reason
     time SECONDS             the clock moves on, and what is due is called
     count NAME AMOUNT        the core calls the counter
+    hup KEY=ADDRESS ...      SIGHUP, with these in the file now; ``hup bad``: it can't be used
     term                     SIGTERM
     done                     the program has ended
     stats KEY=VALUE ...      these counters stand so
@@ -29,7 +30,7 @@
 from pathlib import Path
 from typing import Any, cast
 
-from latchspoke.config import Address, read_config
+from latchspoke.config import Address, Config, ConfigError, read_config
 from latchspoke.net import clock, http, serve
 from latchspoke.net.listener import ClientConnection
 from tests.test_drill import OPTIONS
@@ -101,7 +102,7 @@
 
 class Player:
     def __init__(self, changes: dict[str, Any]) -> None:
-        self.clock = FakeClock()
+        self.clock, self.changes = FakeClock(), changes
         self.words: dict[str, str] = {}
         self.dialled: list[tuple[http.Connection, Address]] = []
         self.links: dict[str, FakeTransport] = {}
@@ -150,6 +151,8 @@
             case "count":
                 name, amount = rest.split()
                 self.node.counter.count(int(name), float(amount), 10.0)
+            case "hup":
+                self.hup(rest)
             case "term":
                 self.node.stop()
             case "done":
@@ -161,6 +164,17 @@
                 self.bytes(head, *rest.split(" ", 1))
         self.settle()
 
+    def hup(self, text: str) -> None:
+        told = dict(item.partition("=")[::2] for item in text.split())
+
+        def reread() -> Config:
+            if text == "bad":
+                raise ConfigError("not JSON")
+            return read_config(configuration(self.changes) | told, {})
+
+        self.node.reread = reread
+        self.node.reload()
+
     def expect_dial(self, name: str, address: str, held: str = "") -> None:
         assert self.dialled, "nothing was dialled"
         connection, (host, port) = self.dialled.pop(0)
