Count each request of a small room by itself, and judge servers by reports' age

Now: where one that asks would stand for over a tenth of the room, each request counts for itself, and the chance of asking grows with what is untold; the chance has a floor by the room; a refusal reads totals older than a depth again; a total that comes late is learnt. Accounts go by plan too and are forgotten one by one. Backlog reports count for the choice of server by their age (servers repeat a report until the next is due). Bookkeeping went to state.py.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -7,14 +7,14 @@
 
 import math
 import random
+from dataclasses import replace
 
 from barleyhub import interface as api
 from barleyhub.interface import Code, Group, ListForm, Repeat, ServerState
-from barleyhub.state import HANDLERS, AccountState, GatewayState, Health, Job, Pool, Server, Tally, kept
+from barleyhub.state import DRAIN, HANDLERS, AccountState, GatewayState, Health, Job, Pool, Server, Tally
 
-MARGIN = 0.1  # s; a client is answered, a keyed window closed this early
+MARGIN = 0.1  # s; a client is answered, a keyed window closed this early at most
 ROOM, ROOM_UNITS = 1.1, 0.5  # the room: so many bursts and so many of the largest requests more
-DRAIN = 1.2  # times the rate at which a full room drains; the average is stricter than a store
 PERIOD_MAX = 48.0  # s; names are forgotten 60 s after their first call at the latest
 PERIOD_DEPTHS = 20.0  # a period lasts at most this many depths: amounts grow by e for each
 AMOUNT_MOST = 1e9  # the counter turns away any larger amount: two units at the end of a period
@@ -23,17 +23,16 @@
 FIT_GAIN, FIT_SLOPE = 0.05, 3.0  # how requests of a plan fare that got a total; chance of the others
 SURGE = 3.0  # times the rate: what the others may have sent unseen since the last total
 OTHERS = 8  # gateways of a set, at most, for which one's own refusals speak
-FRESH = 2.0  # depths; totals are averaged over this to know a customer's habit
 ASK_GAIN, ASK_CUT, ASK_LEAST = 1.05, 0.7, 0.15  # chance of asking the counter: up, down, at least
+ASK_UNITS = 1.0  # of the largest requests in a room; the chance of asking is their share at least
+SHARE = 0.1  # of the room that one request may stand for at most
 SILENT_AFTER = 3  # failed calls in a row are a silent counter
-CAP_START = 1 / 3  # of a gateway's part of a ceiling at first; the rest is the most it holds
 MEMORY = 60.0  # s; a customer idle for this long is forgotten; answered units fade over it
+MARGIN_PART = 1 / 12  # of the mean aim is the margin at most
 GAIN = 0.15  # weight of a new answer in averages of answer times and of slow answers
 SLOW_GAIN = 0.015  # weight of a new answer in the classes' usual times
 START_LATENCY = 0.2  # s; before any answer; only its ratio to later ones matters
-ERROR_GAIN = 0.3  # weight of an outcome in a share of errors, a tenth of it for a group
 ERROR_COST = 4.0  # a server failing always counts as this many times slower, and one
-FORGET = 20.0  # s; faults fade over this time, so that who failed is tried again
 SPENT = 0.75  # of fall_multiple; what all gateways send a cold server on average at the very most
 SUPPOSED = 0.1  # units; weight of what holds before any answer: one unit a warm server and mean aim
 FAR_COST = 10.0  # times the price of crossing zones: how much slower another zone counts
@@ -45,7 +44,6 @@
 LIMIT_GROWTH = 0.25  # attempts a server; what a quick answer adds at most when the limit is used
 LIMIT_CUT = 0.85  # what a slow round leaves of the limit on attempts out
 LEAST_WORTH = 0.75  # share of the limit open to the class of least worth for its work
-BUSY_DEPTH = 2.0  # s; depth of the mean of attempts out
 EXTRA_SHARE = 0.4  # share of the limit open to what goes on beyond a quota
 NEVER_RAN = (Code.FULL, Code.UNREACHABLE, Code.MOOT)
 FAULTS = (Code.ERROR, Code.FULL, Code.UNREACHABLE, Code.RESET)
@@ -56,22 +54,6 @@
 
     __slots__ = ()
 
-    def advance(self, now: float) -> None:
-        """Fade what is not told yet to now, and let this gateway's own parts refill."""
-        gap, self.at, plan = max(now - self.at, 0.0), now, self.plan
-        left = kept(gap, self.depth)
-        self.admitted.pending, self.turned.pending = self.admitted.pending * left, self.turned.pending * left
-        self.alone = min(self.alone + plan.rate / self.spread * gap, self.alone_most)
-        # The quota's own units may be spent elsewhere on a total: only what is over them is split.
-        rate = max(plan.ceiling_rate - DRAIN * plan.rate, 0.0) / self.spread
-        most = max(plan.ceiling_burst - self.room, 0.0) / self.spread
-        self.ceiling = min(self.ceiling + rate * gap, most * (1 - CAP_START))
-
-    def expected(self, tally: Tally) -> float:
-        """The total now: the last one fades, while the others are taken to go on as usual."""
-        fresh = kept(self.at - tally.read_at, self.depth)
-        return tally.mean + (tally.level - tally.mean) * fresh + tally.pending
-
     def gate(self, units: float) -> float:
         """Appendix B: room over the units offered over one depth, clamped to 0..1."""
         # What was refused here and is not told yet is taken for a sample of what the set refused.
@@ -94,14 +76,6 @@
         unseen = SURGE * self.plan.rate * (now - self.admitted.read_at) * (1 - 1 / self.spread)
         return self.expected(self.admitted) + units + unseen <= self.room
 
-    def learn(self, tally: Tally, total: float, now: float) -> None:
-        """Take in a total; a name's first one in a period adds to what is left of the last."""
-        gap, fresh = now - tally.read_at, tally.read_at < tally.period * self.period
-        left = tally.level * kept(gap, self.depth) if fresh else 0.0
-        level = left + total / self.weight(tally, now)
-        tally.mean += (level - tally.mean) * (1 - kept(gap, FRESH * self.depth))
-        tally.level, tally.read_at = level, now
-
 
 class Gateway(GatewayState):
     """The decisions of one gateway."""
@@ -115,6 +89,7 @@
         self.calls: dict[int, tuple[Account, Tally]] = {}
         self.latency = START_LATENCY
         self.aim = sum(c.aim for c in settings.classes) / len(settings.classes)
+        self.margin = min(MARGIN, MARGIN_PART * self.aim)
         self.ratios = {c.name: 1.0 for c in settings.classes}
         self.fitting: dict[tuple[str, bool], float] = {}
         self.silent = not settings.counter
@@ -130,22 +105,26 @@
             handler(event, now)
         return self.actions
 
-    def chance(self, plan: api.PlanSettings) -> float:
+    def chance(self, account: Account) -> float:
         """How likely the counter is asked; plans that may not go without a total come first."""
-        chance = 1.0 if plan.ceiling_rate else self.asking
+        chance = max(self.asking, min(ASK_UNITS * self.settings.largest / account.room, 1.0))
+        chance = 1.0 if account.plan.ceiling_rate else chance
         return (ASK_LEAST if self.silent else chance) * self.settings.counter
 
     def ask(self, account: Account, tally: Tally, now: float) -> None:
         """Tell what is pending and ask for the total, one call at a time."""
         if tally.flying is not None:
             return
-        tally.period = int(now // account.period)
+        tally.period, tally.asked_at = int(now // account.period), now
         amount = account.tell(tally, now, AMOUNT_MOST)
         name = account.name(tally)
         self.calls[name] = (account, tally)
         self.actions.append(api.AddCount(name, amount, account.period + 10))
 
     def on_countanswer(self, event: api.CountAnswer, now: float) -> None:
+        if event.late:
+            self.on_late(event, now)
+            return
         account, tally = self.calls.pop(event.name, (None, None))
         if account is None or tally is None:
             return
@@ -160,30 +139,47 @@
         if told:
             account.learn(tally, event.total, now)
         elif event.code is not Code.TIMEOUT:
-            # A call timed out may have been added: it is never added again.
             tally.pending += flying
+        else:
+            # A call timed out may have been added: it is never added again. Its total may still come.
+            self.hope(event.name, account, tally)
         if tally is account.admitted:
             waiting, account.waiting = account.waiting, []
             for job in waiting:
                 if not job.done:
                     self.decide(job, told, now)
-            if tally.pending < 0 and self.random.random() < self.chance(account.plan):
+            if tally.pending < 0 and self.random.random() < self.chance(account):
                 self.ask(account, tally, now)
 
+    def on_late(self, event: api.CountAnswer, now: float) -> None:
+        """A total after its time is as true as any, though nobody waits for it any more."""
+        account, tally = self.overdue.pop(event.name, (None, None))
+        if account is not None and tally is not None and account.name(tally) == event.name:
+            account.advance(now)
+            account.learn(tally, event.total, now)
+
     def open(self, request: api.Request, plan: api.PlanSettings, now: float) -> Account:
-        """A customer not seen lately; those long idle are forgotten when there are many."""
+        """A customer not seen lately."""
         largest, spread = self.settings.largest, max(request.spread, 1)
         room = ROOM * plan.burst + ROOM_UNITS * largest if plan.rate else math.inf
         depth = room / (DRAIN * plan.rate) if plan.rate else OPEN_DEPTH * self.aim
         period = min(PERIOD_MAX, PERIOD_DEPTHS * depth)
         account = Account(request.customer, plan, spread, now, depth, room, period)
-        # A part is at least one request, or a calm customer of a wide set would be refused.
-        account.alone = account.alone_most = max(plan.burst / spread, largest)
-        account.ceiling = max(plan.ceiling_burst - room, 0.0) / spread * CAP_START
+        account.fill(largest)
         self.accounts[request.customer] = account
-        if len(self.accounts) > self.most_accounts:
-            self.accounts = {c: a for c, a in self.accounts.items() if a.busy or now - a.at < MEMORY}
-            self.most_accounts = 2 * len(self.accounts)
+        return account
+
+    def account(self, request: api.Request, plan: api.PlanSettings, now: float) -> Account:
+        """The customer's account, from now on the last of all; the first is forgotten when long idle."""
+        known = self.accounts.get(request.customer)
+        if known is not None and known.plan is not plan:
+            # Who uses another's name under a plan of his own has his own account.
+            request = replace(request, customer=f"{request.customer}\n{plan.name}")
+        account = self.accounts.pop(request.customer, None) or self.open(request, plan, now)
+        self.accounts[request.customer] = account
+        first = next(iter(self.accounts))
+        if not self.accounts[first].busy and now - self.accounts[first].at > MEMORY:
+            del self.accounts[first]
         return account
 
     def on_request(self, event: api.Request, now: float) -> None:
@@ -191,16 +187,20 @@
         kind = self.classes.get(event.service)
         if kind is None or event.plan not in self.plans:
             raise ValueError(f"unknown class {event.service!r} or plan {event.plan!r}")
-        account = self.accounts.get(event.customer) or self.open(event, self.plans[event.plan], now)
+        account = self.account(event, self.plans[event.plan], now)
         account.advance(now)
         job = Job(event, kind, account, now, now + event.left, event.units)
         self.jobs[event.request] = job
-        sure, chance = account.sure(event.units, now), self.chance(account.plan)
+        sure, chance = account.sure(event.units, now), self.chance(account)
         drawn = self.random.random() < account.gate(event.units)
-        wait = event.left > self.settings.counter_limit + MARGIN
-        asked = wait and not sure and self.random.random() < chance
-        # Those who go without a total are counted by those like them who ask for one.
-        job.counted = event.units if sure else event.units / chance if asked else 0.0
+        wait = event.left > self.settings.counter_limit + self.margin
+        # Where one that asks would stand for too much of the room, each counts for itself, and the
+        # more is untold here, the sooner it is told.
+        single = event.units > SHARE * account.room * chance
+        untold = max(account.admitted.pending / event.units, 0.0) + 1 if single else 1.0
+        asked = wait and not sure and self.random.random() < chance * untold
+        # Else those who go without a total are counted by those like them who ask for one.
+        job.counted = event.units if sure or single else event.units / chance if asked else 0.0
         account.admitted.pending += job.counted
         if asked and drawn:
             self.ask(account, account.admitted, now)
@@ -230,36 +230,35 @@
             # What only the servers had no room for is not the quota's: its repeats would close the gate.
             account.turned.pending += 0.0 if admitted else units
             ripe = account.turned.pending > min(account.room, account.spread)
-            if ripe and self.random.random() < self.chance(plan):
+            if ripe and self.random.random() < self.chance(account):
                 self.ask(account, account.turned, now)
+            # A shut gate asks no more by itself: the totals that shut it must not be older than a depth.
+            for tally in () if self.silent else (account.admitted, account.turned):
+                if account.depth < now - max(tally.read_at, tally.asked_at) < math.inf:
+                    self.ask(account, tally, now)
             self.end(job)
             return
         account.alone = max(account.alone - units, 0.0)
         account.ceiling -= units if split else 0.0
         self.dispatch(job, now)
 
-    def occupy(self, change: int, now: float) -> None:
-        """Count the attempts out, and their mean lately: at full size one is out or none."""
-        fade = kept(now - self.busy_at, BUSY_DEPTH)
-        self.busy, self.busy_at = self.busy * fade + self.out * (1 - fade), now
-        self.out += change
-
     def dispatch(self, job: Job, now: float) -> None:
         """Send a job's next attempt, or end it."""
-        over = now >= job.deadline - MARGIN or job.attempts >= self.settings.try_limit
+        over = now >= job.deadline - self.margin or job.attempts >= self.settings.try_limit
         server = None if over else self.pick(job, now)
         if server is None:
             self.end(job)
         else:
             job.send(server, now)
+            self.sent[job.kind.name].append((job, now))
             self.occupy(1, now)
             self.actions.append(api.Send(job.request.request, server.entry.server, self.timeout(job, now)))
 
     def timeout(self, job: Job, now: float) -> float | None:
         """After the aim an answer is worth little and its work is missing elsewhere: stop before."""
-        left = job.arrived + job.kind.aim - MARGIN - now
+        left = job.arrived + job.kind.aim - self.margin - now
         pressed = job.kind.late_worth == 0 or self.out >= self.bounds(now) * EXTRA_SHARE
-        return left if pressed and left > MARGIN else None
+        return left if pressed and left > self.margin else None
 
     def end(self, job: Job) -> None:
         """The final answer of a job none of whose attempts is out."""
@@ -284,7 +283,7 @@
             job.account.admitted.pending += event.cost - job.request.units
         job.ran = job.ran or event.code not in NEVER_RAN
         # Only the class's own rule allows another attempt after one that may have run.
-        within = job.kind.repeat is Repeat.KEYED and now < job.first_at + job.kind.repeat_window - MARGIN
+        within = job.kind.repeat is Repeat.KEYED and now < job.first_at + job.kind.repeat_window - self.margin
         # The work timed out may go on unseen: in overload another attempt would only add to it.
         jammed = event.code is Code.TIMEOUT and self.slow > SLOW_SHARE
         if event.closed or job.done:
@@ -380,8 +379,8 @@
         late = max(pace, now - server.heard_at if server.out else 0.0)
         far = FAR_COST * self.settings.cross_zone_price * (server.entry.zone != self.settings.zone)
         chance = 1 + far + TIE * self.random.random()
-        errors = server.errors((job.kind.name, job.account.plan.name), FORGET, now)
-        return late * (1 + server.out) * (1 + ERROR_COST * errors) * chance
+        errors = server.errors((job.kind.name, job.account.plan.name), now)
+        return late * (1 + server.out + server.backlog(now)) * (1 + ERROR_COST * errors) * chance
 
     def full(self, kind: api.ClassSettings, extra: bool, now: float) -> bool:
         """Whether to refuse early: a chance, since a gateway's part may be under one attempt."""
@@ -390,9 +389,9 @@
         part = EXTRA_SHARE if extra else LEAST_WORTH + (1 - LEAST_WORTH) * worth
         bound = self.bounds(now) * part
         bound += 0.0 if extra else min(bound, 1 / (1 + bound))
-        for job in self.jobs.values():
+        for each in self.settings.classes:
             # Without an answer for so long it is slow already; each attempt counts once.
-            if job.out and not job.slow and now - job.sent_at > TARGET * job.kind.aim:
+            for job in self.unanswered(each.name, now - TARGET * each.aim):
                 job.slow = True
                 self.adapt(1.0, now)
         crowd = min(self.out, max(self.busy, self.out / 4))
@@ -417,6 +416,7 @@
     def judge(self, server: Server, event: api.Outcome, job: Job, now: float) -> None:
         """Learn from an outcome; a fast failure never makes a server look fast."""
         server.heard_at = now
+        server.told(event.report, now)
         name = job.kind.name
         took = event.took / self.ratios[name]
         if event.code in (Code.OK, Code.TIMEOUT):
@@ -436,8 +436,4 @@
         fault = event.code in FAULTS
         # Silence counts against the class on this server alone, and in overload against nobody.
         silent = event.code is Code.TIMEOUT and self.slow <= SLOW_SHARE
-        server.own.note(fault, ERROR_GAIN, FORGET, now)
-        server.group.note(fault, ERROR_GAIN / 10, FORGET, now)
-        for key, bad in ((name, fault or silent), (job.account.plan.name, fault)):
-            if bad or key in server.faults:
-                server.faults.setdefault(key, Health(now)).note(bad, ERROR_GAIN, FORGET, now)
+        server.note(fault, ((name, fault or silent), (job.account.plan.name, fault)), now)
--- a/barleyhub/interface.py
+++ b/barleyhub/interface.py
@@ -226,12 +226,16 @@
 
 @dataclass(slots=True, frozen=True)
 class CountAnswer:
-    """The answer to one ``AddCount``; ``total`` only with ``Code.OK``."""
+    """The answer to one ``AddCount``; ``total`` only with ``Code.OK``.
+
+    ``late``: the call was told as timed out before, and its total has come after all.
+    """
 
     name: int
     code: Code
     took: float
     total: float = 0.0
+    late: bool = False
 
 
 Event = ServerList | Request | Outcome | Withdrawn | StreamStarted | TimerFired | ProbeAnswer | CountAnswer
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -1,14 +1,25 @@
-"""What barleyhub.choice remembers: plain records, with no decision in them."""
+"""What barleyhub.choice remembers: plain records and how they fade, with no decision in them."""
 
 from __future__ import annotations
 
 import math
+from collections import defaultdict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import get_args
 
 from barleyhub import interface as api
 
+DRAIN = 1.2  # times the rate at which a full room drains; the average is stricter than a store
+ERROR_GAIN = 0.3  # weight of an outcome in a share of errors, a tenth of it for a group
+FORGET = 20.0  # s; faults fade over this time, so that who failed is tried again
+REPORT_DEPTH = 0.5  # s; what a load report says fades over this time
+OVERDUE_MOST = 64  # calls timed out of which a total is still hoped for
+BUSY_DEPTH = 2.0  # s; depth of the mean of attempts out
+FRESH = 2.0  # depths; totals are averaged over this to know a customer's habit
+CAP_START = 1 / 3  # of a gateway's part of a ceiling at first; the rest is the most it holds
+
 # The method that takes each kind of event.
 HANDLERS = {kind.__name__: f"on_{kind.__name__.lower()}" for kind in get_args(api.Event)}
 
@@ -29,6 +40,7 @@
     flying: float | None = None
     period: int = -1
     read_at: float = -math.inf
+    asked_at: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +67,28 @@
         """Whether anything of this customer is out or held here."""
         return bool(self.out or self.waiting)
 
+    def fill(self, largest: float) -> None:
+        """This gateway's own parts at the start."""
+        # A part is at least one request, or a calm customer of a wide set would be refused.
+        self.alone = self.alone_most = max(self.plan.burst / self.spread, largest)
+        self.ceiling = max(self.plan.ceiling_burst - self.room, 0.0) / self.spread * CAP_START
+
+    def advance(self, now: float) -> None:
+        """Fade what is not told yet to now, and let this gateway's own parts refill."""
+        gap, self.at, plan = max(now - self.at, 0.0), now, self.plan
+        left = kept(gap, self.depth)
+        self.admitted.pending, self.turned.pending = self.admitted.pending * left, self.turned.pending * left
+        self.alone = min(self.alone + plan.rate / self.spread * gap, self.alone_most)
+        # The quota's own units may be spent elsewhere on a total: only what is over them is split.
+        rate = max(plan.ceiling_rate - DRAIN * plan.rate, 0.0) / self.spread
+        most = max(plan.ceiling_burst - self.room, 0.0) / self.spread
+        self.ceiling = min(self.ceiling + rate * gap, most * (1 - CAP_START))
+
+    def expected(self, tally: Tally) -> float:
+        """The total now: the last one fades, while the others are taken to go on as usual."""
+        fresh = kept(self.at - tally.read_at, self.depth)
+        return tally.mean + (tally.level - tally.mean) * fresh + tally.pending
+
     def weight(self, tally: Tally, now: float) -> float:
         """What a unit adds now: later ones weigh more, so that a total is an average that fades."""
         return math.exp((now - tally.period * self.period) / self.depth)
@@ -66,6 +100,14 @@
         tally.pending -= tally.flying
         return tally.flying * weight
 
+    def learn(self, tally: Tally, total: float, now: float) -> None:
+        """Take in a total; a name's first one in a period adds to what is left of the last."""
+        gap, fresh = now - tally.read_at, tally.read_at < tally.period * self.period
+        left = tally.level * kept(gap, self.depth) if fresh else 0.0
+        level = left + total / self.weight(tally, now)
+        tally.mean += (level - tally.mean) * (1 - kept(gap, FRESH * self.depth))
+        tally.level, tally.read_at = level, now
+
     def name(self, tally: Tally) -> int:
         """The count's name in its period: a stable digest, the same at all gateways."""
         text = f"{self.customer}\n{tally.kind}\n{self.plan.name}\n{tally.period}"
@@ -130,13 +172,33 @@
     heard_at: float
     out: int = 0
     faults: dict[str, Health] = field(default_factory=dict)
-
-    def errors(self, names: tuple[str, ...], depth: float, now: float) -> float:
+    report: dict[str, float] = field(default_factory=dict)
+    reported_at: float = -math.inf
+
+    def told(self, report: dict[str, float], now: float) -> None:
+        """Take a load report. Servers repeat one until the next is due: its age counts from the first."""
+        if report and report != self.report:
+            self.report, self.reported_at = report, now
+
+    def backlog(self, now: float) -> float:
+        """Requests that wait there, of all gateways, as far as the last report still says."""
+        waiting = self.report.get("backlog", 0.0)
+        return waiting * kept(now - self.reported_at, REPORT_DEPTH) if waiting else 0.0
+
+    def note(self, fault: bool, named: tuple[tuple[str, bool], ...], now: float) -> None:
+        """Take an outcome into the shares of errors; a name counts once it has been at fault here."""
+        self.own.note(fault, ERROR_GAIN, FORGET, now)
+        self.group.note(fault, ERROR_GAIN / 10, FORGET, now)
+        for name, bad in named:
+            if bad or name in self.faults:
+                self.faults.setdefault(name, Health(now)).note(bad, ERROR_GAIN, FORGET, now)
+
+    def errors(self, names: tuple[str, ...], now: float) -> float:
         """The shares of errors of this server, those it stands with, and these names on it, faded."""
         named = [self.faults[name] for name in names if name in self.faults]
         # Most have none, and this is asked of every server for every attempt.
         known = [health for health in (self.own, self.group, *named) if health.errors]
-        return sum(health.errors * kept(now - health.at, depth) for health in known)
+        return sum(health.errors * kept(now - health.at, FORGET) for health in known)
 
 
 @dataclass(slots=True, eq=False)
@@ -189,7 +251,6 @@
     groups: dict[tuple[str, str], Pool] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
     actions: list[api.Action] = field(default_factory=list)
-    most_accounts: int = 16
     asking: float = 1.0
     fails: int = 0
     out: int = 0
@@ -198,3 +259,25 @@
     limit: float = 0.0
     slow: float = 0.0
     heard_at: float = 0.0
+    sent: defaultdict[str, deque[tuple[Job, float]]] = field(default_factory=lambda: defaultdict(deque))
+    overdue: dict[int, tuple[AccountState, Tally]] = field(default_factory=dict)
+
+    def hope(self, name: int, account: AccountState, tally: Tally) -> None:
+        """A call timed out whose total may still come."""
+        self.overdue[name] = (account, tally)
+        if len(self.overdue) > OVERDUE_MOST:
+            del self.overdue[next(iter(self.overdue))]
+
+    def occupy(self, change: int, now: float) -> None:
+        """Count the attempts out, and their mean lately: at full size one is out or none."""
+        fade = kept(now - self.busy_at, BUSY_DEPTH)
+        self.busy, self.busy_at = self.busy * fade + self.out * (1 - fade), now
+        self.out += change
+
+    def unanswered(self, kind: str, since: float) -> Iterator[Job]:
+        """The jobs whose attempt went out before then and is still out; each attempt is looked at once."""
+        sent = self.sent[kind]
+        while sent and sent[0][1] < since:
+            job, at = sent.popleft()
+            if job.out is not None and job.sent_at == at:
+                yield job
--- a/latchspoke/core.py
+++ b/latchspoke/core.py
@@ -165,6 +165,10 @@
         self.stats[f"counter.{code.value}"] += 1
         self.give(api.CountAnswer(name, code, took, total), now)
 
+    def counted_late(self, name: int, took: float, total: float, now: float) -> None:
+        """The total of a call that ``counted`` has told as timed out."""
+        self.give(api.CountAnswer(name, api.Code.OK, took, total, late=True), now)
+
     def listed(self, servers: api.ServerList, now: float) -> None:
         self.give(servers, now)
 
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -101,6 +101,8 @@
             self.shared.stats[f"counter.status_{status}"] += 1
         if call.done:
             self.shared.stats["counter.late"] += 1
+            if code is api.Code.OK:
+                self.line.late(call, total)
         self.line.end_call(call, code, total)
         if self.retired and not self.owed:
             self.end("reloaded", flush=True)
@@ -186,6 +188,11 @@
             now = self.shared.clock.now()
             self.core.counted(call.name, code, now - call.made_at, total, now)
 
+    def late(self, call: Call, total: float) -> None:
+        """Its limit has passed, but what the counter says is true all the same."""
+        now = self.shared.clock.now()
+        self.core.counted_late(call.name, now - call.made_at, total, now)
+
     def sweep(self, now: float) -> None:
         connection = self.connection
         if connection is not None:
