Keep an eighth of the sockets for clients that wait with their answer

Of the newcomers 500 were closed at an age of 0 to 25 ms with nothing asked (Listener.free_client took who had asked nothing first).

Now those that have had their answer hold an eighth of the sockets; one more closes the one that has waited longest (Listener.keep). Who has connected less than 0.5 s ago goes last when sockets are short.

--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -31,6 +31,8 @@
 LINGER = 1.0  # s; after a refusal of bad input the rest is read and dropped, so that it arrives
 DROP_MOST = 1024 * 1024  # bytes; what comes beyond is left unread meanwhile: reading it costs CPU
 SHARE = 2 / 3  # of the sockets are for clients at most; forwards take the rest
+KEPT_SHARE = 1 / 8  # of the sockets; clients that wait with an answer may hold no more for their next request
+GRACE = 0.5  # s; who has just connected is about to ask, and goes last when sockets are short
 HEX = frozenset(b"0123456789abcdefABCDEF")
 KEY_MOST = 1 << 33  # customers' numbers are below this
 DEADLINE_MOST = 3600.0  # s
@@ -270,7 +272,7 @@
             self.put(None)
             self.end("drained" if self.listener.stopping else "asked_close", flush=True)
         else:
-            self.put(self.listener.kept)
+            self.listener.keep(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
@@ -290,6 +292,7 @@
         # Each in the order of their coming: no request yet, half a request, an answer and no request since.
         self.fresh, self.reading, self.kept = Place(), Place(), Place()
         self.most = int(shared.sockets.most * SHARE)
+        self.most_kept = max(int(shared.sockets.most * KEPT_SHARE), 1)
         self.ready = self.stopping = False
 
     def joined(self, client: ClientConnection) -> None:
@@ -305,14 +308,34 @@
             client.put(self.fresh)
 
     def free_client(self) -> bool:
-        """Close the one that has waited longest; those that have had no answer yet may only hold sockets."""
-        for place in (self.fresh, self.reading, self.kept):
-            for client in place:
+        """Close the one that has waited longest; those that let an answer wait may only hold sockets."""
+        now = self.shared.clock.now()
+        waits = (
+            (self.fresh, GRACE),
+            (self.reading, GRACE),
+            (self.kept, 0.0),
+            (self.reading, 0.0),
+            (self.fresh, 0.0),
+        )
+        for place, least in waits:
+            client = next(iter(place), None)
+            if client is not None and now - client.since >= least:
                 client.put(None)
                 client.end("sockets")
                 return True
         return False
 
+    def keep(self, client: ClientConnection) -> None:
+        """Clients may hold only so many connections, and some hold all of theirs without asking again.
+
+        The one that has waited longest makes room for them to open others; who asks often is not hit.
+        """
+        client.put(self.kept)
+        if len(self.kept) > self.most_kept:
+            oldest = next(iter(self.kept))
+            oldest.put(None)
+            oldest.end("not_kept", flush=True)
+
     def sweep(self, now: float) -> None:
         """A client that asks nothing, or never all of it, must not hold its connection for good."""
         for place, limit, code in (
