Give up a silent watch after 2.5 s, and a stalled answer after 0.1 s

Now 2.5 s, 0.1 s (servers write an answer in one go; a timer that is called late, because this process was held up, waits once more) and 0.2 s; what is owed on a retired connection is read for 1.5 s, so that 15 connections at most stand open to a silent counter, which takes 32. Ruled out: a slow server (all alike, 0.2 to 0.3 s at the 90th percentile).

--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -16,7 +16,8 @@
 LINES = 2  # connections; a name always takes the same one, which keeps its calls in order
 OPEN_MOST = 1.0  # s; to connect; a call waits for it no longer than its own limit
 IDLE_MOST = 5.0  # s; the counter closes idle connections after some 10 s
-PATIENCE = 0.4  # s; where no answer at all has come for so long, the next calls take a new connection
+PATIENCE = 0.2  # s; where no answer at all has come for so long, the next calls take a new connection
+RETIRED_MOST = 1.5  # s; so long what is owed on a connection without further calls is read
 SILENT_MOST = 3.0  # s without any answer while some are owed: a new connection is due
 
 
@@ -73,7 +74,7 @@
         if not self.owed:
             self.end(code, flush=True)
         now = self.shared.clock.now()
-        self.shared.clock.schedule(now + SILENT_MOST, lambda late: self.end(code))
+        self.shared.clock.schedule(now + RETIRED_MOST, lambda late: self.end(code))
 
     def data_received(self, data: bytes) -> None:
         try:
--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger(__name__)
 
-SILENT_MOST = 4.0  # s; a watch brings an empty line each 2 s, and what it misses counts as told after 6 s
+SILENT_MOST = 2.5  # s; a watch brings an empty line each 2 s; asking anew costs the agent nothing
 OPEN_MOST = 2.0  # s; to connect
 BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries
 MOST_LINE = 64 * MOST_BODY
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -23,7 +23,8 @@
 )
 
 REST = 0.005  # s; an answer's second copy may follow it: so long its connection gets no further forward
-ANSWER_TIME = 0.25  # s; for an answer to come whole, once it has begun: targets write it in one go
+ANSWER_TIME = 0.1  # s; for an answer to come whole, once it has begun: targets write it in one go
+LATE = 0.02  # s; a timer called later than this says that this process was held up, not its targets
 UNFIT = (400, 404, 405, 413, 414, 431)  # the request itself is at fault, whoever is asked
 IDLE_PART = 0.8  # of the time a target lets a connection stand idle; later it may just be closing
 KEPT = 64  # idle connections a target, at most
@@ -85,11 +86,17 @@
             self.finish(api.Code.RESET)
             self.end(fault)
         elif self.answer_timer is None:
-            when = self.shared.clock.now() + ANSWER_TIME
-            self.answer_timer = self.shared.clock.schedule(when, self.stalled)
+            self.wait_for_rest(self.shared.clock.now())
 
-    def stalled(self, now: float) -> None:
+    def wait_for_rest(self, now: float) -> None:
+        due = now + ANSWER_TIME
+        self.answer_timer = self.shared.clock.schedule(due, lambda late: self.stalled(late, due))
+
+    def stalled(self, now: float, due: float) -> None:
         """It has begun and doesn't go on: it is spoilt, and need not be waited for until the deadline."""
+        if now - due > LATE:
+            self.wait_for_rest(now)  # the rest may have come, and lie unread
+            return
         self.code = self.code or "stalled"
         self.finish(api.Code.RESET)
         self.end("stalled")
