Count a reset a tenth against its server, as any server may be hit

The wire shows resets spread over all servers. A server that has died refuses connections, and that counts in full as before.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -436,4 +436,5 @@
         fault = event.code in FAULTS
         # Silence counts against the class on this server alone, and in overload against nobody.
         silent = event.code is Code.TIMEOUT and self.slow <= SLOW_SHARE
-        server.note(fault, ((name, fault or silent), (job.account.plan.name, fault)), now)
+        named = ((name, fault or silent), (job.account.plan.name, fault))
+        server.note(fault, named, now, event.code is Code.RESET)
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -13,6 +13,9 @@
 
 DRAIN = 1.2  # times the rate at which a full room drains; the average is stricter than a store
 ERROR_GAIN = 0.3  # weight of an outcome in a share of errors, a tenth of it for a group
+# Connections break, and answers come spoilt, on the way from any server alike: to shun the one that was
+# hit loads the others unevenly. One that has died can't be connected to, which counts in full.
+RESET_GAIN = 0.03  # weight of a reset
 ERROR_LEAST = 0.002  # a share of errors below this is none
 SHARE_STEP = 0.2  # s; a faded share of errors holds for so long
 FORGET = 20.0  # s; faults fade over this time, so that who failed is tried again
@@ -198,13 +201,14 @@
         waiting = self.report.get("backlog", 0.0)
         return waiting * kept(now - self.reported_at, REPORT_DEPTH) if waiting else 0.0
 
-    def note(self, fault: bool, named: tuple[tuple[str, bool], ...], now: float) -> None:
+    def note(self, fault: bool, named: tuple[tuple[str, bool], ...], now: float, reset: bool = False) -> None:
         """Take an outcome into the shares of errors; a name counts once it has been at fault here."""
-        self.own.note(fault, ERROR_GAIN, FORGET, now)
-        self.group.note(fault, ERROR_GAIN / 10, FORGET, now)
+        gain = RESET_GAIN if reset else ERROR_GAIN
+        self.own.note(fault, gain, FORGET, now)
+        self.group.note(fault, gain / 10, FORGET, now)
         for name, bad in named:
             if bad or name in self.faults:
-                self.faults.setdefault(name, Health(now)).note(bad, ERROR_GAIN, FORGET, now)
+                self.faults.setdefault(name, Health(now)).note(bad, gain, FORGET, now)
 
     def errors(self, names: tuple[str, ...], now: float) -> float:
         """The shares of errors of this server, those it stands with, and these names on it, faded."""
