Add typed records, the pure parts of a managed fleet, and a gateway's own view

Need: operators want to list, drain, roll and compare many gateways and be told exactly what happened to each. That takes a gateway that can be asked, settings that are checked, and rules for lifecycles, claims and rolls that can be tested without processes.

All 59,049 orders of five lifecycle events keep one process at a time and no SIGKILL before 4.7 s.

--- a/latchspoke/cli.py
+++ b/latchspoke/cli.py
@@ -1,37 +1,72 @@
 """Gateway that admits requests by shared quotas and forwards them to a fleet of targets.
 
 Usage:
-  latchspoke serve [--config FILE]
+  latchspoke serve [--config FILE] [--admin PATH]
   latchspoke check-config [--config FILE]
   latchspoke version
+  latchspoke COMMAND [ARGS...]
   latchspoke -h | --help
 
 Commands:
   serve         Run the gateway in the foreground until SIGTERM; SIGHUP reads the configuration again.
   check-config  Read the configuration, say what it holds, and leave.
   version       Print the version.
+  agent         Run the agent that manages this machine's gateways.       (extra: fleet)
+  fleet         List, inspect, start, drain, roll and compare instances.  (extra: fleet)
+  records       Check, export and format settings files.                  (extra: fleet)
+  keys          The fleet's own authority and its certificates.           (extra: fleet)
 
 Options:
   --config FILE  Configuration file, in place of the one that GW_CONFIG names.
-  -h --help      Show this.
+  --admin PATH   Unix socket on which the gateway shows its own view; off unless given.
+  -h --help      Show this. `latchspoke COMMAND --help` tells of one command.
 
 Exit codes: 0 done, 1 could not serve, 2 wrong usage or configuration.
 """
 
 from __future__ import annotations
 
+import importlib
 import os
 import sys
+from typing import Any
 
 from docopt import DocoptExit, docopt
 
 from latchspoke import __version__
-from latchspoke.config import ConfigError, load, reload
+from latchspoke.config import Config, ConfigError, load, reload
+
+# What needs more than the gateway's own requirements is loaded only when it is asked for.
+GROUPS = {
+    "agent": "latchspoke.console.agent",
+    "fleet": "latchspoke.console.fleet",
+    "records": "latchspoke.console.records",
+    "keys": "latchspoke.console.keys",
+}
+
+
+def run_group(name: str, argv: list[str]) -> int:
+    """A command of the console; one line says what to install where its libraries are missing."""
+    try:
+        module = importlib.import_module(GROUPS[name])
+    except ModuleNotFoundError as e:
+        if (e.name or "").partition(".")[0] == "latchspoke":
+            raise
+        print(
+            f"latchspoke: {name} needs the library {e.name}: pip install 'latchspoke[fleet]'", file=sys.stderr
+        )
+        return 2
+    return int(module.main(argv))
 
 
 def main(argv: list[str] | None = None) -> int:
+    argv = sys.argv[1:] if argv is None else argv
+    if argv and argv[0] in GROUPS:
+        return run_group(argv[0], argv[1:])
     try:
         args = docopt(__doc__, argv=argv)
+        if args["COMMAND"]:
+            raise DocoptExit(f"latchspoke: no such command, or not with these words: {args['COMMAND']}")
     except DocoptExit as e:
         print(str(e), file=sys.stderr)
         return 2
@@ -43,18 +78,24 @@
     except ConfigError as e:
         print(f"latchspoke: {e}", file=sys.stderr)
         return 2
-    if args["check-config"]:
-        settings = config.settings
-        print(
-            f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, gateway {settings.index} of "
-            f"{settings.gateways}, {len(settings.classes)} classes, {len(settings.plans)} plans, "
-            f"{len(config.known.entries)} targets known, {config.sockets} sockets"
-        )
-        return 0
+    return describe(config) if args["check-config"] else run_gateway(config, args)
+
+
+def describe(config: Config) -> int:
+    settings = config.settings
+    print(
+        f"{config.name}: listens on {config.listen[0]}:{config.listen[1]}, gateway {settings.index} of "
+        f"{settings.gateways}, {len(settings.classes)} classes, {len(settings.plans)} plans, "
+        f"{len(config.known.entries)} targets known, {config.sockets} sockets"
+    )
+    return 0
+
+
+def run_gateway(config: Config, args: dict[str, Any]) -> int:
     from latchspoke.net.serve import serve  # the sockets' libraries are loaded only to serve
 
     try:
-        serve(config, lambda: reload(os.environ, args["--config"]))
+        serve(config, lambda: reload(os.environ, args["--config"]), args["--admin"])
     except OSError as e:
         print(f"latchspoke: can't serve on {config.listen[0]}:{config.listen[1]}: {e}", file=sys.stderr)
         return 1
--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -94,6 +94,7 @@
         self.shared, self.address, self.generation = shared, address, generation
         self.on_list, self.on_alive = on_list, on_alive
         self.connection: WatchConnection | None = None
+        self.told_at: float | None = None  # when discovery last had something to tell
         self.wait = BACKOFF_LEAST
         self.stopped = False
 
@@ -109,7 +110,7 @@
 
     def told(self, told: TargetList) -> None:
         self.wait = BACKOFF_LEAST
-        self.generation = told.generation
+        self.generation, self.told_at = told.generation, self.shared.clock.now()
         self.on_list(told)
 
     def move(self, address: Address) -> None:
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -352,6 +352,10 @@
             client.put(None)
             client.end("drained", flush=True)
 
+    @property
+    def busy_count(self) -> int:
+        return len(self.clients) - len(self.fresh) - len(self.kept)
+
     @property
     def busy(self) -> bool:
-        return len(self.clients) > len(self.fresh) + len(self.kept)
+        return self.busy_count > 0
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -23,6 +24,9 @@
 from latchspoke.net.stats import Stats
 from latchspoke.net.target import TargetGroup
 
+if TYPE_CHECKING:
+    from latchspoke.net.admin import Admin
+
 log = logging.getLogger(__name__)
 
 SWEEP = 0.5  # s between looks at what is idle, silent or unfinished
@@ -68,6 +72,8 @@
         self.server: asyncio.Server | None = None
         self.on_done: Callable[[], object] = lambda: None
         self.reread: Callable[[], Config] = lambda: config
+        self.started_at = clock.now()
+        self.stopped_at: float | None = None
 
     def start(self) -> None:
         """Everything but the listening socket."""
@@ -115,9 +121,10 @@
         if self.listener.stopping:
             return
         log.info("%s stops", self.config.name)
+        self.stopped_at = self.clock.now()
         self.listener.stopping, self.listener.ready = True, False
         self.listener.close_idle()
-        self.clock.schedule(self.clock.now() + DRAIN_TIME, self.drained)
+        self.clock.schedule(self.stopped_at + DRAIN_TIME, self.drained)
 
     def drained(self, now: float) -> None:
         if self.server is not None:
@@ -132,7 +139,7 @@
         self.on_done()
 
 
-async def run(config: Config, reread: Callable[[], Config]) -> None:
+async def run(config: Config, reread: Callable[[], Config], admin_path: str | None) -> None:
     loop = asyncio.get_running_loop()
     node = Node(config, Clock(loop), Dialer(loop))
     host, port = config.listen
@@ -142,6 +149,7 @@
     done = asyncio.Event()
     node.on_done = done.set
     node.reread = reread
+    admin = await open_admin(node, loop, admin_path) if admin_path else None
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
@@ -151,13 +159,25 @@
     gc.freeze()  # what lives from start to end need not be walked again and again
     log.info("%s serves on %s:%d", config.name, host, port)
     await done.wait()
+    if admin is not None:
+        admin.stop()
     await asyncio.sleep(0)  # connections tell of their end on the loop's next round
     node.stats.show()
 
 
-def serve(config: Config, reread: Callable[[], Config]) -> None:
+async def open_admin(node: Node, loop: asyncio.AbstractEventLoop, path: str) -> Admin:
+    """Its modules are loaded only where it is asked for."""
+    from latchspoke.net.admin import Admin
+    from latchspoke.net.view import gateway_view
+
+    admin = Admin(loop, path, lambda: gateway_view(node, node.reread))
+    await admin.start()
+    return admin
+
+
+def serve(config: Config, reread: Callable[[], Config], admin: str | None = None) -> None:
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(name)s %(message)s",
         datefmt="%Y-%m-%dT%H:%M:%S",
     )  # fmt: skip
-    uvloop.run(run(config, reread))
+    uvloop.run(run(config, reread, admin))
--- /dev/null
+++ b/latchspoke/net/view.py
@@ -0,0 +1,138 @@
+"""What a gateway tells operators of itself: one plain object, made only when it is asked for.
+
+Nothing here is kept up to date while requests pass; a look costs what walking the servers costs.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Callable, Mapping
+from dataclasses import asdict
+from enum import Enum
+from hashlib import blake2b
+from typing import Any
+
+from barleyhub import interface as api
+from latchspoke import __version__
+from latchspoke.config import Config, ConfigError
+from latchspoke.net.serve import Node
+
+FORMAT = 1  # of the object; a field that goes or changes its meaning makes it grow
+OWN = ("index", "zone")  # settings in which gateways of one fleet differ rightfully
+
+
+def plain(value: Any) -> Any:
+    """JSON's own kinds; enumerations by their words."""
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, Mapping):
+        return {str(name): plain(item) for name, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    return value
+
+
+def digest(value: Any) -> str:
+    """16 hex digits, the same for equal settings whatever their order in the file."""
+    text = json.dumps(plain(value), sort_keys=True, separators=(",", ":"))
+    return blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def shared_settings(settings: api.Settings) -> dict[str, Any]:
+    """The settings that a whole fleet has in common."""
+    return {name: value for name, value in asdict(settings).items() if name not in OWN}
+
+
+def address(pair: tuple[str, int] | None) -> str | None:
+    return f"{pair[0]}:{pair[1]}" if pair else None
+
+
+def settings_view(settings: api.Settings) -> dict[str, Any]:
+    """Plans and classes by name, so that two gateways' figures can be laid side by side."""
+    return {
+        "digest": digest(shared_settings(settings)),
+        "index": settings.index,
+        "gateways": settings.gateways,
+        "plans": {plan.name: plain(asdict(plan)) for plan in settings.plans},
+        "classes": {kind.name: plain(asdict(kind)) for kind in settings.classes},
+    }
+
+
+def file_view(node: Node, reread: Callable[[], Config]) -> dict[str, Any]:
+    """What the file on disk says now, and whether this gateway goes by it."""
+    try:
+        told = reread()
+    except ConfigError as e:
+        return {"error": str(e), "taken_up": False}
+    ours = (node.config.settings, node.watch.address, node.counter.address, node.config.listen)
+    return {
+        "digest": digest(shared_settings(told.settings)),
+        "taken_up": ours == (told.settings, told.discovery, told.counter or ours[2], told.listen),
+        "discovery": address(told.discovery),
+        "counter": address(told.counter),
+    }
+
+
+def targets_view(node: Node, now: float) -> dict[str, Any]:
+    """What the decisions believe of each server; shares and loads as they are, unrounded they say no more."""
+    view = {}
+    for name, server in node.core.gateway.servers.items():
+        target = node.group.targets.get(name)
+        view[name] = {
+            "state": server.entry.state.value,
+            "address": address(target.address) if target else None,
+            "zone": server.entry.zone,
+            "out": server.out,
+            "idle_connections": len(target.idle) if target else 0,
+            "errors": round(server.own.share(now), 4),
+            "pace": round(server.own.pace, 4),
+            "backlog": round(server.backlog(now), 2),
+        }
+    return view
+
+
+def gateway_view(node: Node, reread: Callable[[], Config]) -> dict[str, Any]:
+    """All of it; times in seconds, ages as of now."""
+    now, gateway, listener, watch = node.clock.now(), node.core.gateway, node.listener, node.watch
+    return {
+        "format": FORMAT,
+        "version": __version__,
+        "name": node.config.name,
+        "pid": os.getpid(),
+        "at": round(now, 3),
+        "age": round(now - node.started_at, 3),
+        "listen": address(node.config.listen),
+        "ready": listener.ready,
+        "settings": settings_view(node.config.settings),
+        "file": file_view(node, reread),
+        "discovery": {
+            "address": address(watch.address),
+            "generation": watch.generation,
+            "told_ago": round(now - watch.told_at, 3) if watch.told_at is not None else None,
+            "connected": watch.connection is not None and watch.connection.transport is not None,
+        },
+        "counter": {
+            "address": address(node.counter.address),
+            "silent": gateway.silent,
+            "failed_in_row": gateway.fails,
+            "asked_share": round(gateway.asking, 4),
+        },
+        "targets": targets_view(node, now),
+        "load": {
+            "flows": len(node.core.flows),
+            "forwards": gateway.out,
+            "forwards_limit": round(gateway.limit, 2),
+            "customers": len(gateway.accounts),
+            "clients": len(listener.clients),
+            "sockets": node.shared.sockets.used,
+            "sockets_most": node.shared.sockets.most,
+        },
+        "drain": {
+            "asked": listener.stopping,
+            "since": round(now - node.stopped_at, 3) if node.stopped_at is not None else None,
+            "listening": node.server is not None,
+            "clients_busy": listener.busy_count,
+        },
+        "counters": dict(sorted(node.stats.items())),
+    }
--- /dev/null
+++ b/tests/fleet/test_lifecycle.py
@@ -0,0 +1,206 @@
+"""The life of one instance, event by event, on times given by hand."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from latchspoke.fleet.lifecycle import (
+    ALIVE,
+    Answered,
+    AskDrain,
+    AskReload,
+    AskStart,
+    End,
+    Event,
+    Exited,
+    Goal,
+    Instance,
+    Limits,
+    Note,
+    NotNowError,
+    Phase,
+    Signal,
+    Spawn,
+    Spawned,
+    SpawnFailed,
+    Tick,
+    due,
+    handle,
+)
+
+LIMITS = Limits()
+
+
+class Life:
+    """One instance and all the effects that came of its events."""
+
+    def __init__(self, limits: Limits = LIMITS) -> None:
+        self.limits, self.now, self.instance = limits, 1000.0, Instance("g1")
+        self.effects: list[object] = []
+
+    def give(self, *events: Event, after: float = 0.0) -> Life:
+        self.now += after
+        for event in events:
+            self.instance, effects = handle(self.instance, event, self.now, self.limits)
+            self.effects += [e for e in effects if not isinstance(e, Note)]
+        return self
+
+    def up(self) -> Life:
+        return self.give(AskStart(), Spawned(10, 77), Answered(True))
+
+    @property
+    def word(self) -> str:
+        return self.instance.word(self.now, self.limits)
+
+
+def test_a_start_and_a_clean_drain() -> None:
+    life = Life().up()
+    assert (life.word, life.effects) == ("ready", [Spawn(1)])
+    life.give(AskDrain())
+    assert (life.word, life.effects[-1]) == ("draining", Signal.TERM)
+    life.give(Exited(0), after=1.0)
+    assert (life.word, life.instance.end, life.instance.goal) == ("stopped", End.CLEAN, Goal.DOWN)
+
+
+def test_no_kill_before_the_longest_deadline_and_the_margin() -> None:
+    # The platform's rule: what was taken may be answered until then.
+    life = Life().up().give(AskDrain())
+    life.give(Tick(), after=LIMITS.drain + 0.69)
+    assert Signal.KILL not in life.effects
+    life.give(Tick(), after=0.02)
+    assert life.effects[-1] is Signal.KILL
+    life.give(Tick(), after=1.0)
+    assert life.effects.count(Signal.KILL) == 1
+    assert life.give(Exited(137)).word == "forced"
+
+
+def test_short_deadlines_count_as_three_seconds() -> None:
+    assert Limits(drain=0.5).kill_after() == pytest.approx(3.7)
+
+
+def test_each_end_has_its_own_word() -> None:
+    clean = Life().up().give(AskDrain(), Exited(0))
+    forced = Life().up().give(AskDrain()).give(Tick(), after=9).give(Exited(137))
+    failed = Life(Limits(crashes=1)).give(AskStart(), Spawned(1, 1), Exited(2))
+    looping = Life(Limits(crashes=2)).up().give(Exited(1)).give(Tick(), after=9)
+    looping.give(Spawned(2, 2), Answered(True), Exited(1))
+    in_drain = Life().up().give(AskDrain(), Exited(137))
+    words = [life.word for life in (clean, forced, failed, looping, in_drain)]
+    assert words == ["stopped", "forced", "crash-looping", "crash-looping", "lost-in-drain"]
+    assert failed.instance.end is End.FAILED_START and looping.instance.end is End.CRASHED
+    assert Life().up().give(Exited(137)).instance.end is End.KILLED
+    assert Life().up().give(Exited(None)).instance.end is End.VANISHED
+
+
+def test_a_drain_that_falls_silent_is_said_to_be_both() -> None:
+    life = Life().up().give(AskDrain())
+    life.give(Tick(), after=LIMITS.silent + 0.5)
+    assert life.word == "draining+silent"
+    assert life.instance.silent_for(life.now) == pytest.approx(3.5)
+    assert life.give(Answered(False)).word == "draining"
+
+
+def test_pauses_grow_and_end_with_giving_up() -> None:
+    life, pauses = Life(Limits(jitter=0.0)), []
+    life.give(AskStart(), Spawned(1, 1))
+    while life.instance.phase is not Phase.FAILED:
+        life.give(Exited(1))
+        if life.instance.phase is Phase.WAITING:
+            pauses.append(life.instance.retry_at - life.now)
+            life.give(Tick(), after=pauses[-1]).give(Spawned(1, 1))
+    assert pauses == [0.5, 1.0, 2.0, 4.0]
+    assert life.word == "crash-looping"
+    # Somebody who asks again gets a fresh count of tries.
+    assert life.give(AskStart()).instance.crashes == 0
+
+
+def test_jitter_spreads_the_restarts_of_a_host() -> None:
+    # A host whose instances all crash at once must not start them at once.
+    waits = [
+        handle(Life().up().instance, Exited(1), 2000.0, LIMITS, draw)[0].retry_at - 2000.0
+        for draw in (0.0, 1.0)
+    ]
+    assert waits == pytest.approx([0.4, 0.6])
+
+
+def test_a_long_life_forgives_old_crashes() -> None:
+    life = Life().up().give(Exited(1)).give(Tick(), after=2).give(Spawned(2, 2), Answered(True))
+    assert life.instance.crashes == 1
+    assert life.give(Answered(True), after=LIMITS.settle + 1).instance.crashes == 0
+
+
+def test_a_start_during_a_drain_follows_it() -> None:
+    life = Life().up().give(AskDrain(), AskStart())
+    assert life.word == "draining"
+    life.give(Exited(0))
+    assert (life.word, life.instance.launch) == ("starting", 2)
+
+
+def test_a_drain_before_the_process_is_up_reaches_it() -> None:
+    # SIGTERM to no process would be lost, and the gateway would start although it was told to stop.
+    life = Life().give(AskStart(), AskDrain())
+    assert Signal.TERM not in life.effects
+    life.give(Spawned(5, 5), after=0.2)
+    assert life.effects[-1] is Signal.TERM
+    assert life.instance.kill_at == pytest.approx(life.now + LIMITS.kill_after())
+
+
+def test_a_second_drain_does_not_move_the_kill() -> None:
+    life = Life().up().give(AskDrain())
+    first = life.instance.kill_at
+    assert life.give(AskDrain(), after=2.0).instance.kill_at == first
+    assert life.effects.count(Signal.TERM) == 1
+
+
+def test_a_drain_ends_the_tries_of_one_that_crashes() -> None:
+    life = Life().up().give(Exited(1), AskDrain())
+    assert (life.instance.phase, life.instance.retry_at) == (Phase.STOPPED, 0.0)
+    assert life.give(Tick(), after=100).effects == [Spawn(1)]
+
+
+def test_only_a_running_one_reloads() -> None:
+    assert Life().up().give(AskReload()).effects[-1] is Signal.HUP
+    with pytest.raises(NotNowError, match="stopped"):
+        Life().give(AskReload())
+
+
+def test_a_slow_start_and_a_lost_answer_are_silence() -> None:
+    slow = Life().give(AskStart(), Spawned(1, 1)).give(Tick(), after=LIMITS.start + 0.1)
+    assert slow.word == "silent"
+    assert slow.give(Answered(True)).word == "ready"
+    assert Life().up().give(Tick(), after=3.1).word == "silent"
+
+
+def test_every_order_of_five_events_keeps_the_promises() -> None:
+    """No second process beside a first, no kill too soon, a time due wherever only time can go on."""
+    events: tuple[Event, ...] = (
+        AskStart(), AskDrain(), AskDrain(True), Spawned(9, 9), SpawnFailed("no"), Answered(True),
+        Exited(0), Exited(137), Tick(),
+    )  # fmt: skip
+    seen = set()
+    for order in itertools.product(events, repeat=5):
+        life, running, terminated = Life(Limits(crashes=2)), False, 0.0
+        for event in order:
+            if isinstance(event, Exited) and not life.instance.pid:
+                continue  # no process, no end of one
+            if isinstance(event, Spawned | SpawnFailed) and (not running or life.instance.pid):
+                continue
+            life.now += 2.5
+            life.instance, effects = handle(life.instance, event, life.now, life.limits)
+            if isinstance(event, Exited | SpawnFailed):
+                running = False
+            for effect in effects:
+                if isinstance(effect, Spawn):
+                    assert not running, f"two processes at once after {order}"
+                    running = True
+                if effect is Signal.TERM:
+                    terminated = life.now
+                if effect is Signal.KILL:
+                    assert life.now - terminated >= 4.7, f"killed too soon after {order}"
+            assert (life.instance.phase in ALIVE) == running, order
+            if life.instance.phase in (Phase.WAITING, Phase.STARTING, Phase.READY):
+                assert due(life.instance, life.limits) is not None
+            seen.add(life.instance.phase)
+    assert seen == set(Phase)
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,186 @@
+"""The gateway's own view, over its Unix socket, with a real loop and no gateway sockets beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import stat
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from latchspoke.config import ConfigError, read_config
+from latchspoke.net import admin
+from latchspoke.net.view import digest, gateway_view
+from tests.player import Player, configuration
+
+
+def view_of(player: Player, **file: Any) -> dict[str, Any]:
+    return gateway_view(player.node, lambda: read_config(configuration({}) | file, {}))
+
+
+def test_the_view_tells_settings_targets_and_load() -> None:
+    player = Player({})
+    player.step("dial d 127.0.0.2:2")
+    told = view_of(player)
+    assert told["settings"]["plans"]["basic"]["rate"] == 100.0
+    assert told["discovery"] == {
+        "address": "127.0.0.2:2", "generation": 41, "told_ago": None, "connected": True
+    }  # fmt: skip
+    assert told["targets"]["s1"]["state"] == "active"
+    assert told["file"]["taken_up"] and told["file"]["digest"] == told["settings"]["digest"]
+    assert json.loads(json.dumps(told)) == told
+
+
+def test_a_file_that_was_not_taken_up_shows() -> None:
+    player = Player({})
+    player.step("dial d 127.0.0.2:2")
+    changed = configuration({"burst": 50.0})
+    told = view_of(player, settings=changed["settings"])
+    assert not told["file"]["taken_up"] and told["file"]["digest"] != told["settings"]["digest"]
+    assert not view_of(player, discovery="127.0.0.8:8")["file"]["taken_up"]
+
+
+def test_a_reload_that_moves_an_address_is_taken_up() -> None:
+    player = Player({})
+    player.step("dial d 127.0.0.2:2")
+    player.step("hup discovery=127.0.0.8:8")
+    assert view_of(player, discovery="127.0.0.8:8")["file"]["taken_up"]
+
+
+def test_a_file_that_can_t_be_used_shows() -> None:
+    player = Player({})
+
+    def broken() -> Any:
+        raise ConfigError("f is not JSON")
+
+    told = gateway_view(player.node, broken)["file"]
+    assert told == {"error": "f is not JSON", "taken_up": False}
+
+
+def test_the_drain_shows_how_far_it_has_come() -> None:
+    player = Player({})
+    assert view_of(player)["drain"]["asked"] is False
+    player.node.stop()
+    player.clock.advance(0.2)
+    drain = view_of(player)["drain"]
+    assert (drain["asked"], drain["since"], drain["clients_busy"]) == (True, 0.2, 0)
+
+
+def test_the_index_of_a_gateway_is_not_in_the_digest() -> None:
+    # Gateways of one fleet differ in it rightfully, and would all seem to disagree.
+    first, second = Player({}), Player({})
+    settings = dict(configuration({})["settings"], Index=1)
+    other = read_config(configuration({}) | {"settings": settings}, {})
+    second.node.config = other
+    assert view_of(first)["settings"]["digest"] == view_of(second)["settings"]["digest"]
+    assert digest({"b": 1, "a": 2}) == digest({"a": 2, "b": 1})
+
+
+def with_socket(path: Path, talk: Callable[[str], bytes], calls: list[int] | None = None) -> bytes:
+    """Serve the view at this path while ``talk`` runs in a thread."""
+    calls = calls if calls is not None else []
+
+    def view() -> dict[str, str]:
+        calls.append(1)
+        return {"name": "n0"}
+
+    async def run() -> bytes:
+        loop = asyncio.get_running_loop()
+        served = admin.Admin(loop, str(path), view)
+        await served.start()
+        try:
+            return await asyncio.wait_for(loop.run_in_executor(None, talk, str(path)), 10)
+        finally:
+            served.stop()
+
+    return asyncio.run(run())
+
+
+def ask(*parts: bytes, until: bytes = b"}") -> Callable[[str], bytes]:
+    def talk(path: str) -> bytes:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(5)
+            sock.connect(path)
+            for part in parts:
+                sock.sendall(part)
+            said = b""
+            while not said.endswith(until) and (data := sock.recv(65536)):
+                said += data
+            return said
+
+    return talk
+
+
+GET = b"GET /v1/view HTTP/1.1\r\nHost: admin\r\n\r\n"
+
+
+def test_it_answers_the_view_in_pieces_too(tmp_path: Path) -> None:
+    said = with_socket(tmp_path / "s", ask(GET[:9], GET[9:]))
+    assert said.startswith(b"HTTP/1.1 200 OK") and said.endswith(b'{"name":"n0"}')
+
+
+@pytest.mark.parametrize(
+    ("asked", "status"),
+    [
+        (b"GET /v2 HTTP/1.1\r\nHost: a\r\n\r\n", b"404"),
+        (b"POST /v1/view HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", b"405"),
+        (b"what\r\n\r\n", b"400"),
+        (b"GET /" + b"x" * 5000, b"400"),
+    ],
+)
+def test_what_else_is_asked_changes_nothing(tmp_path: Path, asked: bytes, status: bytes) -> None:
+    calls: list[int] = []
+    assert with_socket(tmp_path / "s", ask(asked), calls).split()[1] == status
+    assert not calls
+
+
+def test_only_its_owner_may_ask_and_it_leaves_no_file(tmp_path: Path) -> None:
+    modes: list[int] = []
+
+    def look(path: str) -> bytes:
+        modes.append(stat.S_IMODE(os.stat(path).st_mode))
+        return ask(GET)(path)
+
+    with_socket(tmp_path / "s", look)
+    assert modes == [0o600] and not (tmp_path / "s").exists()
+
+
+def test_a_dead_socket_is_replaced_and_a_live_one_is_not(tmp_path: Path) -> None:
+    path = str(tmp_path / "s")
+    dead = socket.socket(socket.AF_UNIX)
+    dead.bind(path)
+    dead.close()
+    live = admin.bind(path)
+    with pytest.raises(OSError, match="another process listens"):
+        admin.bind(path)
+    live.close()
+    (tmp_path / "file").write_text("not ours")
+    with pytest.raises(OSError, match="no socket"):
+        admin.bind(str(tmp_path / "file"))
+    assert (tmp_path / "file").read_text() == "not ours"
+
+
+def test_too_many_connections_are_closed_not_kept(tmp_path: Path) -> None:
+    def crowd(path: str) -> bytes:
+        held = [socket.socket(socket.AF_UNIX) for _ in range(admin.CONNECTIONS)]
+        for sock in held:
+            sock.connect(path)
+            sock.sendall(GET)
+            sock.recv(4096)
+        with socket.socket(socket.AF_UNIX) as late:
+            late.settimeout(5)
+            late.connect(path)
+            try:
+                said = late.recv(1)
+            except ConnectionResetError:
+                said = b""
+        for sock in held:
+            sock.close()
+        return said
+
+    assert with_socket(tmp_path / "s", crowd) == b""
