Add the agent, the fleet command and the fleet's own certificates

Need: nobody could say which gateway goes by which figures, or stop one without hoping. An operation must survive the death of its tool and of agents, two operators must never mix their steps, and what is not known must never be told as done.

Change: latchspoke agent runs a host's gateways under keepers that record their ends, puts every promise into SQLite before it acts, and finds its gateways again by start time and mark through pidfds. latchspoke fleet lists, inspects, compares, starts, stops, drains, restarts, reloads, rolls and resumes over all agents; steps are begun once, by fencing token. latchspoke keys issues certificates; TLS 1.3 on both sides on TCP, with refusals on record. make run shows it all.

Hard cases are real processes: SIGKILL of agent and tool in mid-roll, SIGSTOP, locked, unreadable and full stores, six ways of not being heard.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 
-.PHONY: test lint clean setup
+.PHONY: run test lint clean setup
 
 setup: $(VENV)/dev
 
@@ -11,6 +11,9 @@
 	$(VENV)/bin/pip -q install -r requirements-dev.txt -e '.[fleet]'
 	touch $@
 
+run: setup  ## the example world and three gateways under an agent, until Ctrl-C
+	@$(VENV)/bin/python examples/run.py $(ARGS)
+
 test: setup  ## the tests, as CI runs them
 	$(VENV)/bin/python -m pytest -q $(ARGS)
 
--- /dev/null
+++ b/latchspoke/agent/config.py
@@ -0,0 +1,131 @@
+"""What an agent is told: a typed record (schema ``agent``), with its paths made whole."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from latchspoke.fleet.lifecycle import Limits
+from latchspoke.records import Position, RecordError, load
+from latchspoke.records.load import Seconds
+from latchspoke.records.schemas import DEFINITIONS, schema_path
+
+SOCKET_PATH_MOST = 107  # bytes; the kernel's limit on a Unix socket's path
+
+
+class LimitsRecord(msgspec.Struct, frozen=True, rename="camel"):
+    """Durations in seconds; see the schema for what each is."""
+
+    start: Seconds
+    drain: Seconds
+    margin: Seconds
+    silent: Seconds
+    pause: Seconds
+    pause_most: Seconds
+    crashes: int
+    settle: Seconds
+
+    def limits(self) -> Limits:
+        return Limits(
+            start=self.start, drain=self.drain, margin=self.margin, silent=self.silent,
+            pause_least=self.pause, pause_most=self.pause_most, crashes=self.crashes, settle=self.settle,
+        )  # fmt: skip
+
+
+class InstanceRecord(msgspec.Struct, frozen=True):
+    """One gateway of this host."""
+
+    config: str
+    listen: str
+    limits: LimitsRecord
+    zone: str = ""
+    discovery: str = ""
+    start: bool = True
+    environment: dict[str, str] = {}
+    command: list[str] = []
+
+
+class TlsRecord(msgspec.Struct, frozen=True):
+    """Files of the agent's certificate, its key, and the fleet's authority."""
+
+    listen: str
+    certificate: str
+    key: str
+    authority: str
+
+
+class ChecksRecord(msgspec.Struct, frozen=True):
+    interval: Seconds
+    limit: Seconds
+
+
+class AgentRecord(msgspec.Struct, frozen=True):
+    """The whole file."""
+
+    name: str
+    folder: str
+    socket: str
+    checks: ChecksRecord
+    instances: dict[str, InstanceRecord] = {}
+    tls: TlsRecord | None = None
+
+    @property
+    def home(self) -> Path:
+        return Path(self.folder)
+
+    def admin_path(self, instance: str) -> Path:
+        return self.home / "run" / instance / "admin.sock"
+
+    def command(self, instance: str) -> list[str]:
+        told = self.instances[instance].command or [sys.executable, "-m", "latchspoke", "serve"]
+        return [*told, "--admin", str(self.admin_path(instance))]
+
+    def environment(self, instance: str) -> dict[str, str]:
+        """What a gateway is told on the platform, in the same variables."""
+        record = self.instances[instance]
+        told = {"GW_NAME": instance, "GW_LISTEN": record.listen, "GW_CONFIG": record.config}
+        if record.discovery:
+            told["GW_DISCOVERY"] = record.discovery
+        return told | record.environment
+
+
+def read_agent(path: str) -> AgentRecord:
+    """Raises RecordError. Paths in the file are meant from the file's own folder."""
+    record = load(path, schema=schema_path("agent"), definition=DEFINITIONS["agent"])
+    told = record.convert(AgentRecord)
+    base = Path(path).resolve().parent
+
+    def whole(name: str) -> str:
+        return str(base / name) if name else name
+
+    tls = told.tls and msgspec.structs.replace(
+        told.tls, certificate=whole(told.tls.certificate), key=whole(told.tls.key),
+        authority=whole(told.tls.authority),
+    )  # fmt: skip
+    instances = {
+        name: msgspec.structs.replace(instance, config=whole(instance.config))
+        for name, instance in told.instances.items()
+    }
+    told = msgspec.structs.replace(
+        told, folder=whole(told.folder), socket=whole(told.socket), tls=tls, instances=instances
+    )
+    check(told, Position(path, 1, 1))
+    return told
+
+
+def check(told: AgentRecord, at: Position) -> None:
+    """What types alone don't say."""
+    listens: dict[str, str] = {}
+    for name, instance in told.instances.items():
+        other = listens.setdefault(instance.listen, name)
+        if other != name:
+            raise RecordError(
+                at, f"instances.{name}.listen", f"{instance.listen}, as {other} has", "an address of its own"
+            )
+    for path in (told.socket, *(str(told.admin_path(name)) for name in told.instances)):
+        if len(path.encode()) > SOCKET_PATH_MOST:
+            raise RecordError(
+                at, "folder", f"the socket path {path}", f"one of at most {SOCKET_PATH_MOST} bytes"
+            )
--- /dev/null
+++ b/latchspoke/console/client.py
@@ -0,0 +1,237 @@
+"""Asking agents: one client an agent, and all of them side by side.
+
+An agent that gives no answer that can be understood raises ``UnheardError``, whatever the way in which it
+does not: nothing may be concluded from it about its instances. One that says no raises ``RefusedError``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import ssl
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from latchspoke.fleet import wire
+from latchspoke.fleet.view import FleetView
+from latchspoke.records import Position, RecordError, load, load_text
+from latchspoke.records.load import Seconds
+from latchspoke.records.schemas import DEFINITIONS, schema_path
+
+T = TypeVar("T")
+
+
+class AgentEntry(msgspec.Struct, frozen=True):
+    """Where an agent is: a Unix socket here, or an address with TLS."""
+
+    socket: str = ""
+    address: str = ""
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Files of the operator's certificate, its key, and the fleet's authority."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class FleetRecord(msgspec.Struct, frozen=True):
+    """What a tool is told of a fleet."""
+
+    agents: dict[str, AgentEntry]
+    limit: Seconds
+    parallel: int
+    identity: Identity | None = None
+
+
+def read_fleet(path: str) -> FleetRecord:
+    """Raises RecordError; paths are meant from the file's own folder."""
+    record = load(path, schema=schema_path("fleet"), definition=DEFINITIONS["fleet"])
+    told = record.convert(FleetRecord)
+    base = os.path.dirname(os.path.abspath(path))
+    agents = {
+        name: msgspec.structs.replace(entry, socket=entry.socket and os.path.join(base, entry.socket))
+        for name, entry in told.agents.items()
+    }
+    identity = told.identity and Identity(
+        *(os.path.join(base, p) for p in msgspec.structs.astuple(told.identity))
+    )
+    return msgspec.structs.replace(told, agents=agents, identity=identity)
+
+
+def one_agent(socket: str) -> FleetRecord:
+    """A fleet of the one agent behind this socket."""
+    schema = schema_path("fleet").read_text()
+    text = f"agents: here: socket: {msgspec.json.encode(os.path.abspath(socket)).decode()}"
+    return load_text(text, "--socket", schema, DEFINITIONS["fleet"]).convert(FleetRecord)
+
+
+class UnheardError(Exception):
+    """No answer, or none that can be understood: what is asked about is unknown."""
+
+
+class RefusedError(Exception):
+    """A clear no."""
+
+    def __init__(self, problem: wire.Problem) -> None:
+        super().__init__(problem.error)
+        self.problem = problem
+
+
+def refused_by_tls(error: BaseException | None) -> bool:
+    """With TLS 1.3 a client is done with its handshake before the other side has looked at its certificate.
+
+    That it is refused comes as an alert with the first read, or as a mere reset where the alert is lost.
+    """
+    while error is not None:
+        if isinstance(error, ConnectionResetError | aiohttp.ServerDisconnectedError):
+            return True
+        if isinstance(error, ssl.SSLError) and "ALERT" in (error.reason or ""):
+            return True
+        error = error.__cause__ or error.__context__
+    return False
+
+
+class AgentClient:
+    """One agent."""
+
+    def __init__(self, name: str, entry: AgentEntry, limit: float, tls: ssl.SSLContext | None) -> None:
+        self.name, self.entry, self.limit = name, entry, limit
+        connector: aiohttp.BaseConnector
+        if entry.socket:
+            connector, self.base = aiohttp.UnixConnector(entry.socket), "http://agent"
+        else:
+            if tls is None:
+                where = Position("the fleet's file", 1, 1)
+                raise RecordError(where, f"agents.{name}", "an address", "an identity for TLS beside it")
+            connector, self.base = aiohttp.TCPConnector(ssl=tls), f"https://{entry.address}"
+        self.web = aiohttp.ClientSession(connector=connector)
+
+    async def close(self) -> None:
+        await self.web.close()
+
+    async def call(
+        self, kind: type[T], method: str, path: str, body: Any = None, limit: float | None = None
+    ) -> T:
+        """One question, within the limit; raises UnheardError or RefusedError."""
+        limit = self.limit if limit is None else limit
+        data = wire.encode(body) if body is not None else None
+        try:
+            async with self.web.request(
+                method, self.base + path, data=data, timeout=aiohttp.ClientTimeout(total=limit),
+                headers={wire.HEADER: str(wire.INTERFACE)},
+            ) as answer:  # fmt: skip
+                return self.understand(kind, answer, await answer.read())
+        except TimeoutError:
+            raise UnheardError(f"agent {self.name}: silent for {limit:g} s") from None
+        except aiohttp.ClientConnectorCertificateError as e:
+            why = getattr(e.certificate_error, "verify_message", "") or e.certificate_error
+            raise UnheardError(f"agent {self.name}: its certificate is not trusted ({why})") from None
+        except aiohttp.ClientConnectorError as e:
+            raise UnheardError(f"agent {self.name}: not there ({e.os_error.strerror or e})") from None
+        except (aiohttp.ClientError, OSError, ValueError) as e:
+            if self.entry.address and refused_by_tls(e):
+                why = "it ends the connection after the handshake; its history tells why"
+                raise UnheardError(f"agent {self.name}: refuses this certificate, it seems ({why})") from None
+            what = type(e).__name__
+            raise UnheardError(f"agent {self.name}: answers what is not understood ({what})") from None
+
+    def understand(self, kind: type[T], answer: aiohttp.ClientResponse, told: bytes) -> T:
+        spoken = answer.headers.get(wire.HEADER)
+        if spoken != str(wire.INTERFACE):
+            other = f"interface {spoken}" if spoken else "no interface of ours"
+            raise UnheardError(f"agent {self.name}: speaks {other}, this tool speaks {wire.INTERFACE}")
+        try:
+            if answer.status == 200:
+                return wire.decode(kind, told)
+            problem = wire.decode(wire.Problem, told)
+        except msgspec.MsgspecError as e:
+            raise UnheardError(f"agent {self.name}: answers what is not understood ({e})") from None
+        raise RefusedError(problem)
+
+    async def listing(self) -> wire.Listing:
+        return await self.call(wire.Listing, "GET", "/v1/instances")
+
+    async def views(self, names: Iterable[str] = ()) -> wire.ViewAnswer:
+        query = "&".join(f"name={name}" for name in names)
+        path = f"/v1/views?{query}" if query else "/v1/views"
+        # The agent asks its gateways in turn, and each may take its own limit.
+        return await self.call(wire.ViewAnswer, "GET", path, limit=2 * self.limit)
+
+    async def events(self, after: int = 0, wait: float = 0.0) -> wire.Events:
+        path = f"/v1/events?after={after}&wait={wait:g}"
+        return await self.call(wire.Events, "GET", path, limit=self.limit + wait)
+
+    async def operations(self) -> wire.Operations:
+        return await self.call(wire.Operations, "GET", "/v1/operations")
+
+    async def operation(self, ident: str) -> wire.OperationStatus:
+        return await self.call(wire.OperationStatus, "GET", f"/v1/operations/{ident}")
+
+    async def put_operation(self, plan: wire.OperationPlan) -> wire.OperationStatus:
+        return await self.call(wire.OperationStatus, "PUT", f"/v1/operations/{plan.id}", plan)
+
+    async def close_operation(self, ident: str, state: str, detail: str) -> wire.OperationStatus:
+        body = wire.CloseOperation(state, detail)
+        return await self.call(wire.OperationStatus, "POST", f"/v1/operations/{ident}/close", body)
+
+    async def claim(self, names: list[str], operation: str, ttl: float) -> dict[str, int]:
+        """The tokens by instance."""
+        body = wire.ClaimRequest(names, operation, ttl)
+        told = await self.call(wire.Claimed, "POST", "/v1/claims", body)
+        return {claim.instance: claim.token for claim in told.claims}
+
+    async def renew(self, tokens: dict[str, int], ttl: float) -> None:
+        await self.call(wire.Claimed, "POST", "/v1/claims/renew", wire.TokenRequest(tokens, ttl))
+
+    async def release(self, tokens: dict[str, int]) -> None:
+        await self.call(wire.Claimed, "POST", "/v1/claims/release", wire.TokenRequest(tokens))
+
+    async def step(self, request: wire.StepRequest) -> wire.StepInfo:
+        return await self.call(wire.StepInfo, "POST", "/v1/steps", request)
+
+
+class Fleet:
+    """All agents that the file names."""
+
+    def __init__(self, record: FleetRecord, tls: ssl.SSLContext | None = None) -> None:
+        self.record = record
+        self.clients = {
+            name: AgentClient(name, entry, record.limit, tls) for name, entry in record.agents.items()
+        }
+        self.gate = asyncio.Semaphore(record.parallel)
+
+    async def __aenter__(self) -> Fleet:
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await asyncio.gather(*(client.close() for client in self.clients.values()))
+
+    async def ask(
+        self, question: Callable[[AgentClient], Coroutine[Any, Any, T]], names: Iterable[str] | None = None
+    ) -> dict[str, T | UnheardError | RefusedError]:
+        """Ask agents side by side; each answers, refuses or is unheard, and none holds up another."""
+
+        async def one(client: AgentClient) -> T | UnheardError | RefusedError:
+            async with self.gate:
+                try:
+                    return await question(client)
+                except (UnheardError, RefusedError) as e:
+                    return e
+
+        chosen = sorted(self.clients if names is None else names)
+        told = await asyncio.gather(*(one(self.clients[name]) for name in chosen))
+        return dict(zip(chosen, told, strict=True))
+
+    async def look(self, view: FleetView, now: Callable[[], float]) -> FleetView:
+        """The next version of the view."""
+        for name, told in (await self.ask(lambda client: client.listing())).items():
+            if isinstance(told, wire.Listing):
+                view = view.told(name, told, now())
+            else:
+                view = view.unheard(name, str(told))
+        return view
--- a/latchspoke/fleet/lifecycle.py
+++ b/latchspoke/fleet/lifecycle.py
@@ -28,6 +28,7 @@
     STOPPED = "stopped"
     STARTING = "starting"
     READY = "ready"
+    UNREADY = "unready"  # answers, and says that it takes nothing
     SILENT = "silent"
     DRAINING = "draining"
     KILLING = "killing"
@@ -110,7 +111,8 @@
         return str(self.phase.value)
 
 
-ALIVE = frozenset((Phase.STARTING, Phase.READY, Phase.SILENT, Phase.DRAINING, Phase.KILLING))
+ALIVE = frozenset((Phase.STARTING, Phase.READY, Phase.UNREADY, Phase.SILENT, Phase.DRAINING, Phase.KILLING))
+RUNNING = frozenset((Phase.READY, Phase.UNREADY, Phase.SILENT))
 
 
 # Events.
@@ -236,7 +238,7 @@
 
 
 def ask_reload(instance: Instance) -> Step:
-    if instance.phase not in (Phase.READY, Phase.SILENT):
+    if instance.phase not in RUNNING:
         raise NotNowError(f"{instance.name} is {instance.phase.value}: only a running one can reload")
     return instance, [Signal.HUP, Note("reloaded")]
 
@@ -282,6 +284,8 @@
     if instance.phase in (Phase.DRAINING, Phase.KILLING) or not instance.alive:
         return heard, []
     if not ready:
+        if instance.phase in (Phase.READY, Phase.SILENT) and instance.was_ready:
+            return replace(heard, phase=Phase.UNREADY, since=now), [Note("unready")]
         return heard, []
     crashes = 0 if instance.was_ready and now - instance.spawned_at > limits.settle else instance.crashes
     heard = replace(heard, was_ready=True, crashes=crashes)
@@ -339,7 +343,7 @@
         return killing, [Signal.KILL, Note("killing", f"{waited:.1f} s after SIGTERM it still ran")]
     if instance.phase is Phase.STARTING and instance.pid and now - instance.spawned_at > limits.start:
         return replace(instance, phase=Phase.SILENT, since=now), [Note("silent", "not ready in its time")]
-    if instance.phase is Phase.READY and instance.silent_for(now) > limits.silent:
+    if instance.phase in (Phase.READY, Phase.UNREADY) and instance.silent_for(now) > limits.silent:
         return replace(instance, phase=Phase.SILENT, since=now), [Note("silent")]
     return instance, []
 
@@ -351,6 +355,7 @@
         Phase.DRAINING: lambda: instance.kill_at,
         Phase.STARTING: lambda: instance.spawned_at + limits.start,
         Phase.READY: lambda: max(instance.answered_at, instance.spawned_at) + limits.silent,
+        Phase.UNREADY: lambda: max(instance.answered_at, instance.spawned_at) + limits.silent,
     }
     at = times.get(instance.phase)
     return at() if at is not None else None
--- a/latchspoke/fleet/steps.py
+++ b/latchspoke/fleet/steps.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from latchspoke.fleet.lifecycle import AskDrain, AskReload, AskStart, End, Event, Instance, Phase
+from latchspoke.fleet.lifecycle import AskDrain, AskReload, AskStart, End, Event, Instance, Limits, Phase
 
 EVENTS: dict[str, Event] = {
     "start": AskStart(),
@@ -25,12 +25,16 @@
 DOING = Verdict("doing")
 
 
-def verdict(action: str, base: Instance, instance: Instance, until: float, now: float) -> Verdict:
+def verdict(
+    action: str, base: Instance, instance: Instance, until: float, now: float, limits: Limits
+) -> Verdict:
     """How the step stands: ``base`` is the instance just before it, ``until`` its last moment."""
     told = {"start": starting, "drain": draining, "restart": restarting}.get(action)
     over = told(base, instance) if told is not None else Verdict("done", "signalled")
     if over is DOING and now >= until:
-        return Verdict("failed", f"still {instance.phase.value} when its time was over")
+        word, silent = instance.word(now, limits), instance.silent_for(now)
+        last = f", last answered {silent:.1f} s ago" if "silent" in word else ""
+        return Verdict("failed", f"still {word} when its time was over{last}")
     return over
 
 
--- a/latchspoke/fleet/view.py
+++ b/latchspoke/fleet/view.py
@@ -138,13 +138,17 @@
 
 
 def select(view: FleetView, words: Iterable[str]) -> list[Seen]:
-    """Those that all words fit: ``KEY=PATTERN[,PATTERN]``, or a bare pattern for names.
+    """Those that fit: words are ``KEY=PATTERN[,PATTERN]``, or a bare pattern for names.
 
+    Of one key any pattern may fit; of several keys all must.
     Keys are name, host (the agent), zone, state and version; patterns are the shell's. A name pattern
     with a slash stands for agent/instance. No words select all.
     """
-    tests = [read_selector(word) for word in words]
-    return [seen for seen in view.sorted() if all(fits(seen, key, patterns) for key, patterns in tests)]
+    tests: dict[str, tuple[str, ...]] = {}
+    for word in words:
+        key, patterns = read_selector(word)
+        tests[key] = tests.get(key, ()) + patterns
+    return [seen for seen in view.sorted() if all(fits(seen, key, tests[key]) for key in tests)]
 
 
 def read_selector(word: str) -> tuple[str, tuple[str, ...]]:
--- a/latchspoke/net/admin.py
+++ b/latchspoke/net/admin.py
@@ -116,7 +116,7 @@
             connection.close()
 
 
-def bind(path: str) -> socket.socket:
+def bind(path: str, backlog: int = CONNECTIONS) -> socket.socket:
     """A listening Unix socket that its owner alone may use; one left by a dead process is replaced."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
     try:
@@ -125,7 +125,7 @@
         # The mode is set before anyone can connect: nobody is listened to until listen().
         sock.bind(path)
         os.chmod(path, 0o600)
-        sock.listen(CONNECTIONS)
+        sock.listen(backlog)
     except OSError:
         sock.close()
         raise
--- /dev/null
+++ b/tests/agent/world.py
@@ -0,0 +1,217 @@
+"""Real agents with real processes on loopback, for tests; all that it starts it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from contextlib import contextmanager, redirect_stderr, redirect_stdout
+from pathlib import Path
+from typing import Any, TypeVar
+
+from latchspoke.console import fleet as command
+from latchspoke.console.client import Fleet, read_fleet
+from latchspoke.fleet import wire
+
+T = TypeVar("T")
+PATIENCE = 20.0  # s; a test fails beyond it; it never waits so long when all is well
+PUPPET = [sys.executable, "-S", str(Path(__file__).with_name("puppet.py"))]
+ROOT = Path(__file__).parents[2]
+QUICK = 'limits: {drain: "1s", silent: "600ms", pause: "50ms", start: "5s"}'
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+class Host:
+    """One agent's folder, file and process."""
+
+    def __init__(self, base: Path, name: str) -> None:
+        self.base, self.name, self.folder = base, name, base / name
+        self.folder.mkdir()
+        self.file = base / f"{name}.cue"
+        self.instances: dict[str, str] = {}
+        self.ports: dict[str, int] = {}
+        self.tls = ""
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def puppet(self, name: str, mode: str = "good", more: str = QUICK, zone: str = "") -> None:
+        """An instance played by a puppet; the new mode counts from its next start."""
+        port = self.ports.setdefault(name, free_port())
+        config = self.folder / f"{name}.json"
+        config.touch()
+        self.instances[name] = (
+            f'{name}: {{config: {json.dumps(str(config))}, listen: "127.0.0.1:{port}", zone: "{zone}"\n'
+            f'command: {json.dumps(PUPPET)}, environment: PUPPET: "{mode}"\n{more}}}'
+        )
+
+    def write(self) -> None:
+        inner = "\n".join(self.instances.values())
+        self.file.write_text(
+            f'name: "{self.name}"\nfolder: {json.dumps(str(self.folder))}\n'
+            f'checks: interval: "100ms"\ninstances: {{\n{inner}\n}}\n{self.tls}\n'
+        )
+
+    def start(self) -> None:
+        self.write()
+        log = open(self.base / f"{self.name}.log", "ab")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "latchspoke", "agent", "--config", str(self.file)],
+            cwd=ROOT, stdout=log, stderr=log,
+        )  # fmt: skip
+        log.close()
+        until(lambda: self.socket.exists() or self.process_ended(), "the agent listens")
+
+    def process_ended(self) -> bool:
+        if self.process is not None and self.process.poll() is not None:
+            raise AssertionError((self.base / f"{self.name}.log").read_text())
+        return False
+
+    @property
+    def socket(self) -> Path:
+        return self.folder / "agent.sock"
+
+    def kill(self) -> None:
+        """As a crash: nothing is tidied up."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        self.socket.unlink(missing_ok=True)
+
+    def pid(self, name: str) -> int:
+        return next(s.pid for s in self.listing().instances if s.name == name)
+
+    def listing(self) -> wire.Listing:
+        return ask(self, lambda fleet: fleet.clients[self.name].listing())
+
+    def state(self, name: str) -> str:
+        return next(s.state for s in self.listing().instances if s.name == name)
+
+    def wait(self, name: str, *states: str) -> str:
+        until(
+            lambda: self.state(name) in states, f"{name} is {' or '.join(states)}", lambda: self.state(name)
+        )
+        return self.state(name)
+
+    def end(self) -> None:
+        """The agent, then every process that is under this folder."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.terminate()
+            try:
+                self.process.wait(5)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+        for file in (self.folder / "run").glob("*/*/pid"):
+            self.end_process(int(file.read_text()), f"{self.folder}:".encode())
+
+    @staticmethod
+    def end_process(pid: int, mark: bytes) -> None:
+        with contextlib.suppress(OSError):
+            if b"LATCHSPOKE_LAUNCH=" + mark in Path(f"/proc/{pid}/environ").read_bytes():
+                os.kill(pid, signal.SIGKILL)
+
+
+class World:
+    """Some hosts and the fleet's file."""
+
+    def __init__(self, base: Path) -> None:
+        self.base, self.file = base, base / "fleet.cue"
+        self.hosts: dict[str, Host] = {}
+
+    def host(self, name: str) -> Host:
+        made = self.hosts[name] = Host(self.base, name)
+        return made
+
+    def start(self) -> World:
+        for host in self.hosts.values():
+            host.start()
+        self.write()
+        return self
+
+    def write(self, **sockets: Path) -> None:
+        """The fleet's file; other sockets may stand in for agents."""
+        named = {name: host.socket for name, host in self.hosts.items()} | sockets
+        lines = [f"agents: {name}: socket: {json.dumps(str(path))}" for name, path in named.items()]
+        self.file.write_text("\n".join([*lines, 'limit: "1s"']) + "\n")
+
+    def ready(self, *idents: str) -> World:
+        for ident in idents:
+            host, _, name = ident.partition("/")
+            self.hosts[host].wait(name, "ready")
+        return self
+
+    def tool(self, *words: str) -> tuple[int, Any]:
+        """The command with ``--json``, in this process; its exit code and what it printed."""
+        out, err = io.StringIO(), io.StringIO()
+        with redirect_stdout(out), redirect_stderr(err):
+            code = command.main([*words, "--fleet", str(self.file), "--json"])
+        text = out.getvalue()
+        return code, json.loads(text) if text.strip() else err.getvalue()
+
+    def tool_process(self, *words: str) -> subprocess.Popen[str]:
+        """The same as a process of its own, to be killed or run beside another."""
+        return subprocess.Popen(
+            [sys.executable, "-m", "latchspoke", "fleet", *words, "--fleet", str(self.file), "--json"],
+            cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+
+    def events(self, host: str, operation: str | None = None) -> list[wire.Event]:
+        told = ask(self.hosts[host], lambda fleet: fleet.clients[host].events())
+        return [e for e in told.events if operation in (None, e.operation)]
+
+    def end(self) -> None:
+        for host in self.hosts.values():
+            host.end()
+
+
+@contextmanager
+def world(base: Path) -> Iterator[World]:
+    made = World(base)
+    try:
+        yield made
+    finally:
+        made.end()
+
+
+def ask(host: Host, question: Callable[[Fleet], Coroutine[Any, Any, T]]) -> T:
+    """One question to one agent."""
+    file = host.base / f"{host.name}-alone.cue"
+    file.write_text(f'agents: {host.name}: socket: {json.dumps(str(host.socket))}\nlimit: "3s"\n')
+
+    async def run() -> T:
+        async with Fleet(read_fleet(str(file))) as fleet:
+            return await question(fleet)
+
+    return asyncio.run(run())
+
+
+def until(test: Callable[[], Any], what: str, say: Callable[[], Any] = lambda: "") -> None:
+    """Until it holds; beyond patience the test fails with what was waited for."""
+    end = time.monotonic() + PATIENCE
+    while not test():
+        assert time.monotonic() < end, f"waited in vain until {what}: {say()}"
+        time.sleep(0.02)
+
+
+async def gather_all(*work: Awaitable[Any]) -> list[Any]:
+    return list(await asyncio.gather(*work, return_exceptions=True))
+
+
+def outcomes(report: Any) -> dict[str, str]:
+    return {item["id"]: item["outcome"] for item in report["instances"]}
+
+
+def details(report: Any) -> dict[str, str]:
+    return {item["id"]: item["detail"] for item in report["instances"]}
--- a/tests/fleet/test_lifecycle.py
+++ b/tests/fleet/test_lifecycle.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
-
 import pytest
 
 from latchspoke.fleet.lifecycle import (
@@ -173,34 +171,49 @@
     assert Life().up().give(Tick(), after=3.1).word == "silent"
 
 
-def test_every_order_of_five_events_keeps_the_promises() -> None:
+EVENTS: tuple[Event, ...] = (
+    AskStart(), AskDrain(), AskDrain(True), Spawned(9, 9), SpawnFailed("no"), Answered(True),
+    Answered(False), Exited(0), Exited(137), Tick(),
+)  # fmt: skip
+FEW = Limits(crashes=2)
+
+
+def explore(instance: Instance, now: float, running: bool, told: float, left: int, seen: set[Phase]) -> int:
+    """Every order of so many further events; how many steps that were."""
+    seen.add(instance.phase)
+    assert (instance.phase in ALIVE) == running, instance
+    if instance.phase in (Phase.WAITING, Phase.STARTING, Phase.READY, Phase.UNREADY):
+        assert due(instance, FEW) is not None
+    steps = 0
+    for event in EVENTS if left else ():
+        if isinstance(event, Exited) and not instance.pid:
+            continue  # no process, no end of one
+        if isinstance(event, Spawned | SpawnFailed) and (not running or instance.pid):
+            continue
+        later, terminated = now + 2.5, told
+        after, effects = handle(instance, event, later, FEW)
+        up = running and not isinstance(event, Exited | SpawnFailed)
+        for effect in effects:
+            if isinstance(effect, Spawn):
+                assert not up, "two processes at once"
+                up = True
+            if effect is Signal.TERM:
+                terminated = later
+            if effect is Signal.KILL:
+                assert later - terminated >= 4.7, "killed too soon"
+        steps += 1 + explore(after, later, up, terminated, left - 1, seen)
+    return steps
+
+
+def test_every_order_of_six_events_keeps_the_promises() -> None:
     """No second process beside a first, no kill too soon, a time due wherever only time can go on."""
-    events: tuple[Event, ...] = (
-        AskStart(), AskDrain(), AskDrain(True), Spawned(9, 9), SpawnFailed("no"), Answered(True),
-        Exited(0), Exited(137), Tick(),
-    )  # fmt: skip
-    seen = set()
-    for order in itertools.product(events, repeat=5):
-        life, running, terminated = Life(Limits(crashes=2)), False, 0.0
-        for event in order:
-            if isinstance(event, Exited) and not life.instance.pid:
-                continue  # no process, no end of one
-            if isinstance(event, Spawned | SpawnFailed) and (not running or life.instance.pid):
-                continue
-            life.now += 2.5
-            life.instance, effects = handle(life.instance, event, life.now, life.limits)
-            if isinstance(event, Exited | SpawnFailed):
-                running = False
-            for effect in effects:
-                if isinstance(effect, Spawn):
-                    assert not running, f"two processes at once after {order}"
-                    running = True
-                if effect is Signal.TERM:
-                    terminated = life.now
-                if effect is Signal.KILL:
-                    assert life.now - terminated >= 4.7, f"killed too soon after {order}"
-            assert (life.instance.phase in ALIVE) == running, order
-            if life.instance.phase in (Phase.WAITING, Phase.STARTING, Phase.READY):
-                assert due(life.instance, life.limits) is not None
-            seen.add(life.instance.phase)
+    seen: set[Phase] = set()
+    assert explore(Instance("g1"), 1000.0, False, 0.0, 6, seen) > 50_000
     assert seen == set(Phase)
+
+
+def test_one_that_says_it_takes_nothing_is_not_ready() -> None:
+    # Somebody else's SIGTERM: it drains, and its agent was not asked.
+    life = Life().up().give(Answered(False))
+    assert life.word == "unready"
+    assert life.give(Answered(True)).word == "ready"
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -51,6 +51,7 @@
     for word, ids in cases.items():
         assert [seen.id for seen in select(view, [word])] == ids, word
     assert [seen.id for seen in select(view, ["zone=b1", "state=ready"])] == ["h1/g1"]
+    assert [seen.id for seen in select(view, ["g1", "g3", "host=h2"])] == ["h2/g3"]
     assert len(select(view, [])) == 3
 
 
