Add traces, replay and a laboratory on loopback, and finish the fleet's measurements

A replay must keep times, customers and gateways, count clients' retries as part of their first try, and never sell the player's own lateness as a result of the gateways.

Change: latchspoke.traffic reads HAR 1.2, any Apache or nginx log format and JSON lines in one pass and bounded memory, orders missing, coarse, stepping and skewed times, finds retries, and writes a trace of its own. latchspoke.lab holds models of nodes, counter, discovery and clients without I/O, faults as a schedule, a loopback driver, an open-loop player over several processes, and reports in HTML and JSON. New commands trace, replay, lab. Five real gateways with one killed in a rolling drain are a test; benchmarks/fleet.py and benchmarks/admin_cost.py give their tables to docs/fleet.md.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that are run by hand; none of them is part of CI."""
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,7 +1,8 @@
 """A toy world to try the gateway in: two servers, discovery and a counter, all on loopback.
 
 Start it, then the gateway with config.json from this folder. It listens on 127.0.0.1, ports 9001 and
-9002 (the servers), 8500 (discovery) and 6400 (the counter), and runs until it is interrupted.
+9002 (the servers), 8500 (discovery) and 6400 (the counter), and runs until it is interrupted. Other ports
+may be named: discovery's, the counter's, then the servers'.
 """
 
 from __future__ import annotations
@@ -10,13 +11,14 @@
 import contextlib
 import json
 import random
+import sys
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
 
 Answer = Callable[[str, bytes, asyncio.StreamWriter], Awaitable[None]]
 
-SERVERS = (9001, 9002)
+DISCOVERY, COUNTER, *SERVERS = [int(port) for port in sys.argv[1:]] or [8500, 6400, 9001, 9002]
 totals: Counter[str] = Counter()
 
 
@@ -72,7 +74,7 @@
 
 
 async def main() -> None:
-    for port, answer in (*((port, serve) for port in SERVERS), (8500, discover), (6400, count)):
+    for port, answer in (*((port, serve) for port in SERVERS), (DISCOVERY, discover), (COUNTER, count)):
         await asyncio.start_server(speak(answer), "127.0.0.1", port)
     print("toy world is up", flush=True)
     await asyncio.Event().wait()
--- a/latchspoke/cli.py
+++ b/latchspoke/cli.py
@@ -15,6 +15,9 @@
   fleet         List, inspect, start, drain, roll and compare instances.  (extra: fleet)
   records       Check, export and format settings files.                  (extra: fleet)
   keys          The fleet's own authority and its certificates.           (extra: fleet)
+  trace         Recorded traffic: import HAR files and logs, show, check. (extra: lab)
+  replay        Play a trace against gateways, and say how true it was.   (extra: lab)
+  lab           Experiments on stand-in servers, with reports.            (extra: lab)
 
 Options:
   --config FILE  Configuration file, in place of the one that GW_CONFIG names.
@@ -42,6 +45,9 @@
     "fleet": "latchspoke.console.fleet",
     "records": "latchspoke.console.records",
     "keys": "latchspoke.console.keys",
+    "trace": "latchspoke.console.trace",
+    "replay": "latchspoke.console.replay",
+    "lab": "latchspoke.console.lab",
 }
 
 
@@ -53,7 +59,8 @@
         if (e.name or "").partition(".")[0] == "latchspoke":
             raise
         print(
-            f"latchspoke: {name} needs the library {e.name}: pip install 'latchspoke[fleet]'", file=sys.stderr
+            f"latchspoke: {name} needs the library {e.name}: pip install 'latchspoke[fleet,lab]'",
+            file=sys.stderr,
         )
         return 2
     return int(module.main(argv))
--- /dev/null
+++ b/latchspoke/console/lab.py
@@ -0,0 +1,146 @@
+"""The laboratory: experiments on stand-in servers, and what they came to.
+
+Usage:
+  latchspoke lab run [options] EXPERIMENT
+  latchspoke lab -h | --help
+
+Commands:
+  run  Play every variant of an experiment, as often as it says, and write a report.
+
+Options:
+  --out FOLDER     Where the report goes [default: report].
+  --seed N         In place of the experiment's.
+  --repeats N      In place of the experiment's.
+  --processes N    Of the player [default: 1].
+  --json           Print the figures as JSON.
+  -h --help        Show this.
+
+EXPERIMENT is a typed record (schema `lab`). Ctrl-C ends it; the report is then of what was played.
+Exit codes: 0 done, 1 could not be played, 2 wrong usage or record, 130 interrupted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from rich.console import Console
+
+from latchspoke.console import tables
+from latchspoke.console.usage import read_usage
+from latchspoke.lab import report
+from latchspoke.lab.experiment import Experiment, read_experiment, variants
+from latchspoke.lab.loopback.player import PlayError
+from latchspoke.lab.loopback.run import Run, RunError, RunResult
+from latchspoke.records import RecordError
+from latchspoke.traffic.trace import TraceError
+
+
+def main(argv: list[str]) -> int:
+    args = read_usage(__doc__, "lab", argv)
+    if args is None:
+        return 2
+    try:
+        experiment = read_experiment(args["EXPERIMENT"])
+        for name in ("--seed", "--repeats"):
+            if args[name] is not None:
+                experiment = msgspec.structs.replace(experiment, **{name[2:]: whole(args, name)})
+        return run(args, experiment)
+    except (RecordError, ValueError) as e:
+        print(e, file=sys.stderr)
+        return 2
+    except (RunError, PlayError, TraceError, OSError) as e:
+        print(f"latchspoke lab: {e}", file=sys.stderr)
+        return 1
+
+
+def whole(args: dict[str, Any], name: str) -> int:
+    if not args[name].isdecimal() or int(args[name]) < 1:
+        raise ValueError(f"latchspoke lab: {name} takes a whole number of at least 1, not {args[name]}")
+    return int(args[name])
+
+
+def run(args: dict[str, Any], experiment: Experiment) -> int:
+    out, console = Path(args["--out"]), Console(stderr=True, highlight=False)
+    shown: list[report.Shown] = []
+    # Turn by turn, not variant by variant: what the machine does meanwhile hits all alike.
+    made = list(variants(experiment, args["EXPERIMENT"]))
+    for turn in range(experiment.repeats):
+        for name, changed, tree in made:
+            seed = experiment.seed + turn
+            console.print(f"{name}: run {turn + 1} of {experiment.repeats}, seed {seed}")
+            work = Run(changed, name, seed, tree, out / "runs" / f"{name}-{seed}", whole(args, "--processes"))
+            result = asyncio.run(work.play())
+            shown.append(show(changed, result))
+            if result.interrupted:
+                break
+        if shown[-1].interrupted:
+            break
+    notes = notes_of(shown)
+    report.write(out, experiment.name, shown, notes)
+    tell(args, out, shown, notes)
+    return 130 if shown[-1].interrupted else 0
+
+
+def show(experiment: Experiment, result: RunResult) -> report.Shown:
+    gateways = [
+        {
+            "name": g.name, "cpu": g.cpu, "memory_mb": g.memory_mb, "ended": g.ended,
+            "served": g.stats.get("flows.served", 0), "refused": g.stats.get("flows.refused", 0),
+            "stats": g.stats,
+        }
+        for g in result.gateways
+    ]  # fmt: skip
+    pays = {name: plan.pays for name, plan in experiment.plans.items()}
+    use = {name: asdict(told) for name, told in result.use.items()}
+    more = {"counter_calls": result.counter_calls, "attempts_at_nodes": result.attempts,
+            "nodes": result.served_by_nodes}  # fmt: skip
+    return report.Shown(
+        result.variant,
+        result.seed,
+        result.outcomes,
+        pays,
+        use,
+        gateways,
+        result.interrupted,
+        experiment.schedule(),
+        more,
+    )
+
+
+def notes_of(shown: list[report.Shown]) -> list[str]:
+    """What must be known before any figure is believed."""
+    notes = []
+    for item in shown:
+        where = f"{item.variant}, seed {item.seed}"
+        if item.interrupted:
+            notes.append(f"{where}: interrupted")
+        if item.outcomes.behind:
+            notes.append(
+                f"{where}: the player fell behind, {item.outcomes.behind} requests more than 100 ms late, "
+                f"from {item.outcomes.behind_from:.1f} s on"
+            )
+        notes += [f"{where}: gateway {g['name']} {g['ended']}" for g in item.gateways if g["ended"]]
+    return notes
+
+
+def tell(args: dict[str, Any], out: Path, shown: list[report.Shown], notes: list[str]) -> None:
+    rows = report.compared(shown)
+    names = list(dict.fromkeys(item.variant for item in shown))
+    if args["--json"]:
+        value = {r.name: dict(zip(names, r.values, strict=True)) | {"verdict": r.verdict} for r in rows}
+        print(msgspec.json.format(msgspec.json.encode({"figures": value, "notes": notes}), indent=2).decode())
+        return
+    console = Console(highlight=False)
+    made = tables.table("figure", *names, *(["said"] if len(names) > 1 else []))
+    for row in rows:
+        cells = [f"{mean:.4g} ({least:.4g} to {most:.4g})" for mean, least, most in row.values]
+        made.add_row(row.name, *cells, *([row.verdict] if len(names) > 1 else []))
+    console.print(made)
+    for note in notes:
+        console.print(note, style="yellow")
+    console.print(f"{out / 'report.html'}")
--- /dev/null
+++ b/latchspoke/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: models of servers, counter, discovery and clients, and what drives them."""
--- /dev/null
+++ b/latchspoke/lab/loopback/http.py
@@ -0,0 +1,88 @@
+"""A small server side of HTTP for the stand-ins: parses requests, and answers in their order."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import deque
+from typing import cast
+
+import httptools
+
+REASONS = {200: "OK", 404: "Not Found", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+def response(status: int, body: bytes = b"", headers: str = "") -> bytes:
+    head = f"HTTP/1.1 {status} {REASONS.get(status, 'X')}\r\nContent-Length: {len(body)}\r\n{headers}\r\n"
+    return head.encode() + body
+
+
+class Place:
+    """An answer's place in its connection's order; it goes out once all before it have."""
+
+    __slots__ = ("data", "link")
+
+    def __init__(self, link: Link) -> None:
+        self.link, self.data = link, b""
+
+    def answer(self, data: bytes) -> None:
+        self.data = data
+        self.link.flush()
+
+
+class Link(asyncio.Protocol):
+    """One connection to a stand-in."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.places: deque[Place] = deque()
+        self.url, self.headers, self.body = b"", dict[bytes, bytes](), b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        with contextlib.suppress(httptools.HttpParserUpgrade):
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserError:
+                self.abort()
+
+    def on_message_begin(self) -> None:
+        self.url, self.headers, self.body = b"", {}, b""
+
+    def on_url(self, part: bytes) -> None:
+        self.url += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value
+
+    def on_body(self, part: bytes) -> None:
+        self.body += part
+
+    def on_message_complete(self) -> None:
+        place = Place(self)
+        self.places.append(place)
+        self.asked(place)
+
+    def asked(self, place: Place) -> None:
+        raise NotImplementedError
+
+    def flush(self) -> None:
+        while self.places and self.places[0].data:
+            data = self.places.popleft().data
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.write(data)
+
+    def abort(self) -> None:
+        """A reset, so that the other side hears of it at once."""
+        if self.transport is None:
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
--- /dev/null
+++ b/latchspoke/lab/loopback/run.py
@@ -0,0 +1,246 @@
+"""One run on loopback: the stand-ins in this process, gateways and players in processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from latchspoke.lab.experiment import KIND, Experiment
+from latchspoke.lab.load import Arrival, Replayed, drawn
+from latchspoke.lab.loopback.player import Part, Work, play_all
+from latchspoke.lab.loopback.servers import HOST, World
+from latchspoke.lab.loopback.servers import Work as NodeWork
+from latchspoke.lab.outcome import Outcomes
+from latchspoke.lab.quota import QuotaJudge, Use
+from latchspoke.traffic.trace import Reader, between
+
+READY_WITHIN = 15.0  # s
+DRAIN_WITHIN = 10.0  # s
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class RunError(Exception):
+    """The run could not be played; one line says why."""
+
+
+@dataclass
+class Gateway:
+    """One gateway's process in a run."""
+
+    name: str
+    port: int
+    process: asyncio.subprocess.Process
+    log: Path
+    cpu: float = 0.0
+    memory_mb: float = 0.0
+    ended: str = ""
+    stats: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass
+class RunResult:
+    """What one run came to."""
+
+    variant: str
+    seed: int
+    outcomes: Outcomes
+    use: dict[str, Use]
+    gateways: list[Gateway]
+    counter_calls: int
+    attempts: int
+    served_by_nodes: dict[str, tuple[int, int]]
+    interrupted: bool = False
+
+
+def trace_gateways(path: str, count: int) -> dict[str, int]:
+    """The recorded gateways' names, in the order of their first request, to gateways of the run."""
+    names: dict[str, int] = {}
+    for request in Reader(path):
+        names.setdefault(request.gateway, len(names) % count)
+    return names
+
+
+def replayed(path: str, options: dict[str, Any], start: float, end: float) -> Iterator[Arrival]:
+    """Arrivals of a trace; made anew in each process of the player."""
+    return Replayed(**options).arrivals(between(Reader(path), start, end))
+
+
+def drawn_again(experiment: Experiment, seed: int) -> Iterator[Arrival]:
+    gateways = experiment.gateways
+    return drawn(experiment.loads(), KIND, experiment.duration, gateways.count, gateways.spread, seed)
+
+
+class Run:
+    """One variant, played once."""
+
+    def __init__(
+        self, experiment: Experiment, variant: str, seed: int, tree: str, folder: Path, processes: int = 1,
+    ) -> None:  # fmt: skip
+        self.experiment, self.variant, self.seed = experiment, variant, seed
+        self.tree, self.folder, self.processes = tree, folder, processes
+        self.gateways: list[Gateway] = []
+        self.interrupted = False
+        plans = {name: plan.figures(name) for name, plan in experiment.plans.items()}
+        self.judge = QuotaJudge(plans)
+
+    async def play(self) -> RunResult:
+        experiment = self.experiment
+        nodes = experiment.nodes
+        world = World(
+            nodes.count, nodes.settings(), NodeWork(nodes.work, nodes.sigma, self.seed),
+            experiment.counter.settings(), experiment.schedule(), self.judge, nodes.late, self.seed,
+            experiment.gateways.zones,
+        )  # fmt: skip
+        await world.start()
+        try:
+            await self.start_gateways(world)
+            outcomes, loop = Outcomes(experiment.clients.aim), asyncio.get_running_loop()
+
+            def begin(began: float) -> None:
+                loop.call_soon_threadsafe(lambda: world.begin(loop.time() + began - time.time()))
+
+            with self.watch_interrupts():
+                await loop.run_in_executor(None, play_all, self.works(), outcomes, begin)
+            await self.stop_gateways()
+            served = {name: (h.node.served, h.node.declined) for name, h in world.nodes.items()}
+            return RunResult(
+                self.variant, self.seed, outcomes, self.judge.use, self.gateways, world.counter.model.calls,
+                self.judge.attempts, served, self.interrupted,
+            )  # fmt: skip
+        finally:
+            await self.kill_gateways()
+            await world.close()
+
+    @contextlib.contextmanager
+    def watch_interrupts(self) -> Iterator[None]:
+        """Ctrl-C ends the players, which hear it themselves; the report is of what was played."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGINT, self.interrupt)
+        try:
+            yield
+        finally:
+            loop.remove_signal_handler(signal.SIGINT)
+
+    def interrupt(self) -> None:
+        self.interrupted = True
+
+    def works(self) -> list[Work]:
+        experiment = self.experiment
+        addresses = [(HOST, gateway.port) for gateway in self.gateways]
+        make, words, verbatim = self.arrivals()
+        return [
+            Work(
+                Part(addresses, experiment.clients.settings(), self.seed, verbatim, n, self.processes),
+                make,
+                words,
+            )
+            for n in range(self.processes)
+        ]
+
+    def arrivals(self) -> tuple[Callable[..., Iterator[Arrival]], tuple[Any, ...], bool]:
+        experiment, trace = self.experiment, self.experiment.trace
+        if trace is None:
+            return drawn_again, (experiment, self.seed), False
+        options = {
+            "gateways": trace_gateways(trace.file, experiment.gateways.count), "speed": trace.speed,
+            "scale": trace.scale, "louder": trace.louder, "verbatim": trace.verbatim, "seed": self.seed,
+        }  # fmt: skip
+        end = experiment.duration * trace.speed
+        return replayed, (trace.file, options, 0.0, end), trace.verbatim
+
+    # Gateways.
+
+    def configuration(self, index: int, port: int, world: World) -> dict[str, Any]:
+        entries = list(world.discovery.entries.values())
+        return {
+            "name": f"n{index}", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{world.discovery.port}",
+            "counter": f"{HOST}:{world.counter.port}", "seed": f"{self.seed * 1000 + index:x}",
+            "limits": {"sockets": self.experiment.gateways.sockets},
+            "known": {"generation": 1, "reset": True, "instances": entries},
+            "settings": self.experiment.settings(index),
+        }  # fmt: skip
+
+    async def start_gateways(self, world: World) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for index in range(self.experiment.gateways.count):
+            with socket.create_server((HOST, 0)) as probe:
+                port = int(probe.getsockname()[1])
+            file = self.folder / f"n{index}.json"
+            file.write_text(json.dumps(self.configuration(index, port, world)))
+            log = self.folder / f"n{index}.log"
+            with open(log, "wb") as out:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "latchspoke", "serve", "--config", str(file),
+                    cwd=self.tree or None, stderr=out, stdout=out, start_new_session=True,
+                    env=self.environment(),
+                )  # fmt: skip
+            self.gateways.append(Gateway(f"n{index}", port, process, log))
+        await asyncio.gather(*(self.ready(gateway) for gateway in self.gateways))
+
+    def environment(self) -> dict[str, str]:
+        own = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+        # A tree of another commit must be what is imported there, not what is installed here.
+        return own | ({"PYTHONPATH": self.tree} if self.tree else {})
+
+    async def ready(self, gateway: Gateway) -> None:
+        end = time.monotonic() + READY_WITHIN
+        while time.monotonic() < end and gateway.process.returncode is None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(HOST, gateway.port)
+                writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                line = await asyncio.wait_for(reader.readline(), 2.0)
+                writer.close()
+                if b" 200 " in line:
+                    return
+            await asyncio.sleep(0.02)
+        raise RunError(f"gateway {gateway.name} is not ready; its log is {gateway.log}")
+
+    async def stop_gateways(self) -> None:
+        for gateway in self.gateways:
+            if gateway.process.returncode is not None:
+                gateway.ended = f"ended by itself, code {gateway.process.returncode}"
+                continue
+            gateway.cpu, gateway.memory_mb = usage(gateway.process.pid)
+            gateway.process.terminate()
+        for gateway in self.gateways:
+            try:
+                await asyncio.wait_for(gateway.process.wait(), DRAIN_WITHIN)
+            except TimeoutError:
+                gateway.ended = f"did not drain in {DRAIN_WITHIN:g} s"
+            gateway.stats = read_stats(gateway.log)
+
+    async def kill_gateways(self) -> None:
+        for gateway in self.gateways:
+            if gateway.process.returncode is None:
+                gateway.process.kill()
+                await gateway.process.wait()
+
+
+def usage(pid: int) -> tuple[float, float]:
+    """CPU in s and the most memory held in MB, by the kernel."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0, 0.0
+    peak = next((line.split()[1] for line in status.splitlines() if line.startswith("VmHWM")), "0")
+    return (int(fields[11]) + int(fields[12])) / TICKS, int(peak) / 1024
+
+
+def read_stats(log: Path) -> dict[str, int]:
+    """The counters that a gateway prints as it ends."""
+    for line in reversed(log.read_text(errors="replace").splitlines()):
+        if line.startswith("stats "):
+            told: dict[str, int] = json.loads(line[6:])
+            return told
+    return {}
--- a/latchspoke/records/schemas/__init__.py
+++ b/latchspoke/records/schemas/__init__.py
@@ -4,7 +4,12 @@
 
 from pathlib import Path
 
-DEFINITIONS = {"agent": "#Agent", "fleet": "#Fleet"}  # a schema and what a whole file must fit
+DEFINITIONS = {
+    "agent": "#Agent",
+    "fleet": "#Fleet",
+    "lab": "#Experiment",
+    "mapping": "#Mapping",
+}  # a schema and what a whole file must fit
 
 
 def schema_path(name: str) -> Path:
