Let two tests of replays wait for played requests in place of the clock

Cause: one test killed a gateway 3 s after the start and one sent Ctrl-C after 5 s, and a slow machine could be elsewhere by then: sleeps as synchronisation, so the verdict could change.

Change: the first waits until nodes have taken 20 requests, the second until the stand-in has answered 100, which it tells when it is asked.

--- a/tests/lab/test_loopback.py
+++ b/tests/lab/test_loopback.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -26,11 +27,16 @@
 class Echo(Link):
     """Answers what a gateway might: by the customer's number."""
 
+    seen = 0
     statuses = {0: 200, 1: 200, 2: 429, 3: 200}  # noqa: RUF012
 
     def asked(self, place: Place) -> None:
         key = re.search(rb"key=([0-9a-f]+)", self.url)
-        status = self.statuses[int(key.group(1), 16) % 4] if key else 404
+        if key is None:
+            place.answer(response(200, str(Echo.seen).encode()))
+            return
+        Echo.seen += 1
+        status = self.statuses[int(key.group(1), 16) % 4]
         place.answer(response(status if status == 200 else 503, headers="Retry-After: 0.1\r\n"))
 
 
@@ -127,7 +133,10 @@
          "--out", str(tmp_path / "r"), str(path)],
         cwd=ROOT, stdout=subprocess.PIPE, text=True, start_new_session=True,
     )  # fmt: skip
-    time.sleep(5.0)  # not to wait for anything: to play some of the minute
+    end = time.monotonic() + 30
+    while int(urllib.request.urlopen(f"http://{echo}/seen", timeout=5).read()) < 100:
+        assert time.monotonic() < end, "nothing was played"
+        time.sleep(0.05)
     os.killpg(process.pid, signal.SIGINT)
     out, _ = process.communicate(timeout=20)
     told = json.loads(out)
@@ -211,7 +220,8 @@
         task = asyncio.get_running_loop().create_task(run.play())
         while len(run.gateways) < 2:
             await asyncio.sleep(0.02)
-        await asyncio.sleep(3.0)  # into the run
+        while run.judge.attempts < 20:  # nodes have had requests: the run is under way
+            await asyncio.sleep(0.02)
         run.gateways[1].process.kill()
         result = await task
         assert result.gateways[1].ended == "ended by itself, code -9"
