Let each gateway send to its own arc of a large fleet's servers

Cause: forty gateways that each send some ten requests a second to all sixty servers find no connection open. Checked, from the logs of all gateways: time to connect is 1 ms, so the cost is at the servers; kept connections answer in 0.34 s where new ones take 0.39 s. Lines at fault: Gateway.pick sampled 12 of self.fleet, which was all servers (barleyhub/choice.py). Change: share_out lays the servers on one ring, each zone at even distances; a gateway sends to its arc. The limit on attempts out and the budget of cold servers go by the gateways that hold a server.

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -7,7 +7,9 @@
 
 import math
 import random
+from collections import defaultdict
 from dataclasses import replace
+from hashlib import blake2b
 
 from barleyhub import interface as api
 from barleyhub.interface import Code, Group, ListForm, Repeat, ServerState
@@ -37,7 +39,8 @@
 SUPPOSED = 0.1  # units; weight of what holds before any answer: one unit a warm server and mean aim
 FAR_COST = 10.0  # times the price of crossing zones: how much slower another zone counts
 TIE = 0.1  # spread of the random factor that keeps gateways from choosing alike
-SAMPLE = 12  # servers looked at for an attempt
+SAMPLE = 12  # servers that a gateway sends to, at least, and that it looks at for an attempt
+HOLDERS = 8.0  # gateways that send to one server, at least
 TARGET = 0.6  # an answer that takes more than this share of its aim is slow ...
 SLOW_SHARE = 0.2  # ... and when more than this share are, the limit on attempts out falls
 LIMIT_START, LIMIT_LEAST = 6.0, 2.0  # attempts out a server by all gateways: at first, and always
@@ -77,6 +80,19 @@
         return self.expected(self.admitted) + units + unseen <= self.room
 
 
+def digest(name: str) -> bytes:
+    """A place among all servers that tells nothing of them, and is the same at all gateways."""
+    return blake2b(name.encode(), digest_size=8).digest()
+
+
+def stride(gateways: int) -> int:
+    """Steps that lead once round all gateways, two neighbours never close: by the golden section."""
+    step = max(round(gateways * 0.618), 1)
+    while math.gcd(step, gateways) > 1:
+        step += 1
+    return step
+
+
 class Gateway(GatewayState):
     """The decisions of one gateway."""
 
@@ -93,6 +109,8 @@
         self.ratios = {c.name: 1.0 for c in settings.classes}
         self.fitting: dict[tuple[str, bool], float] = {}
         self.silent = not settings.counter
+        self.mine: list[Server] = []
+        self.holders = float(max(settings.gateways, 1))
 
     def start(self, now: float) -> list[api.Action]:
         """The first actions of a gateway's life."""
@@ -313,19 +331,39 @@
             if entry.state is not ServerState.ACTIVE:
                 self.servers.pop(entry.server, None)
             elif known is None or known.entry.launched != entry.launched:
-                pool = Pool.supposed(SUPPOSED, self.aim * self.settings.gateways, now)
+                pool = Pool.supposed(SUPPOSED, self.aim * self.holders, now)
                 pool = self.groups.setdefault((entry.zone, entry.kind), pool)
                 self.servers[entry.server] = Server(entry, Health(now), pool, now)
             else:
                 known.entry = entry
+        self.share_out()
         self.sort(now)
 
+    def share_out(self) -> None:
+        """Choose this gateway's servers: its arc of a ring on which all gateways see all servers alike.
+
+        Traffic spread over all of a large fleet finds no connection open, and servers full of idle ones.
+        Arcs are of one length and begin at even distances, gateways of neighbouring numbers far apart, as
+        they share customers. A server that comes or goes moves the ends of an arc by one place.
+        """
+        zones = defaultdict(list)
+        for name in sorted(self.servers, key=digest):
+            zones[self.servers[name].entry.zone].append(self.servers[name])
+        # Each zone's servers lie at even distances, so that every arc holds its part of each zone.
+        ring = [((j + 0.5) / len(z), n, s) for n, z in sorted(zones.items()) for j, s in enumerate(z)]
+        ring.sort(key=lambda place: place[:2])
+        total, gateways = len(ring), max(self.settings.gateways, 1)
+        size = min(total, max(SAMPLE, math.ceil(HOLDERS * total / gateways)))
+        first = total * (self.settings.index * stride(gateways) % gateways) // gateways
+        self.mine = [ring[(first + n) % total][2] for n in range(size)]
+        self.holders = gateways * size / total if total else gateways
+
     def sort(self, now: float) -> None:
         """Part the warm servers from the cold ones."""
         for pool in self.groups.values():
             pool.recount(MEMORY, now)
-        self.fleet = [s for s in self.servers.values() if self.warmth(s, now) >= 1.0]
-        self.cold = [s for s in self.servers.values() if self.warmth(s, now) < 1.0]
+        self.fleet = [s for s in self.mine if self.warmth(s, now) >= 1.0]
+        self.cold = [s for s in self.mine if self.warmth(s, now) < 1.0]
         for server in self.fleet:
             server.group.warm += 1
 
@@ -395,12 +433,12 @@
                 job.slow = True
                 self.adapt(1.0, now)
         crowd = min(self.out, max(self.busy, self.out / 4))
-        return bool(self.servers) and self.random.random() >= bound - crowd
+        return bool(self.mine) and self.random.random() >= bound - crowd
 
     def bounds(self, now: float) -> float:
         """The limit on attempts out, cold servers by their warmth; never under what shows a recovery."""
         strength = len(self.fleet) + sum(self.warmth(server, now) for server in self.cold)
-        share = strength / self.settings.gateways
+        share = strength / self.holders
         self.limit = max(self.limit or LIMIT_START * share, LIMIT_LEAST * share)
         return self.limit
 
@@ -411,7 +449,7 @@
         if self.slow > SLOW_SHARE:
             self.limit = self.bounds(now) * max(LIMIT_CUT**rounds, 0.5)
         elif self.out >= self.bounds(now) * LEAST_WORTH:
-            self.limit += min(1 / self.limit, LIMIT_GROWTH * len(self.servers) / self.settings.gateways)
+            self.limit += min(1 / self.limit, LIMIT_GROWTH * len(self.mine) / self.holders)
 
     def judge(self, server: Server, event: api.Outcome, job: Job, now: float) -> None:
         """Learn from an outcome; a fast failure never makes a server look fast."""
