Ask for the servers' room before the counter, and give cold servers what their kind answers

The counter turned away a quarter of all calls, and what was not told went beyond quotas. Lines at fault: decide asked full() after the total had come. Now on_request asks it first, and a request for which there is no room calls nobody. Cause 2: servers of the zone that came back cold were 0.4 busy for 15 s while all others were 0.95 busy: their budget went by what their own zone had answered, which was nothing while it was lost and still listed. Now it goes by all servers of their kind (Gateway.rate in due).

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -211,6 +211,10 @@
         self.jobs[event.request] = job
         sure, chance = account.sure(event.units, now), self.chance(account)
         drawn = self.random.random() < account.gate(event.units)
+        if drawn and self.full(kind, False, now):
+            # A total would change nothing, and to tell the counter and take it back is two calls.
+            self.end(job)
+            return
         wait = event.left > self.settings.counter_limit + self.margin
         # Where one that asks would stand for too much of the room, each counts for itself, and the
         # more is untold here, the sooner it is told.
@@ -242,7 +246,7 @@
         # A part under one request is a chance: it keeps the sum over the set.
         split = plan.ceiling_rate > 0 and not (told and admitted)
         capped = split and self.random.random() * units >= account.ceiling
-        refused = capped or not (admitted or extra) or self.full(job.kind, extra, now)
+        refused = capped or not (admitted or extra) or (extra and self.full(job.kind, extra, now))
         account.admitted.pending -= job.counted if refused or extra else 0.0
         if refused:
             # What only the servers had no room for is not the quota's: its repeats would close the gate.
@@ -374,6 +378,16 @@
             return 1.0
         return s.start_capacity + (1 - s.start_capacity) * max(now - launched, 0.0) / s.cold_time
 
+    def rate(self, entry: api.ServerEntry) -> float:
+        """Units a second that a warm server like it answered here, whatever its zone.
+
+        A zone that was lost has answered nothing for as long as the list named it, and comes back cold
+        just when the others are full: its servers can do what the others do.
+        """
+        pools = [pool for (_, kind), pool in self.groups.items() if kind == entry.kind]
+        units, sizes = sum(pool.units for pool in pools), sum(pool.sizes for pool in pools)
+        return min(entry.size * units / sizes, 1.0) * units / sum(pool.time for pool in pools)
+
     def due(self, job: Job, now: float) -> list[Server]:
         """The cold server that this attempt is due to, if any; nothing else goes to a cold one.
 
@@ -389,7 +403,7 @@
         gap, self.drawn_at = min(now - self.drawn_at, saved), now
         draw = self.random.random() * job.request.units
         for server in self.cold:
-            draw -= steady * self.warmth(server, now) * server.group.rate(server.entry.size) * gap
+            draw -= steady * self.warmth(server, now) * self.rate(server.entry) * gap
             if draw < 0:
                 return [] if server.entry.server in job.tried else [server]
         return []
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -11,7 +11,7 @@
 from barleyhub import interface as api
 from barleyhub.choice import Gateway
 from barleyhub.interface import Code
-from tests.conftest import BASE, entry
+from tests.conftest import BASE, Bench, entry
 
 WARM, COLD = 20, 3
 UNITS = 240.0  # asked a second, of all gateways together: 12 a warm server
@@ -192,3 +192,19 @@
     fleet.play(END)
     assert fleet.worst() <= 1.0
     assert fleet.used() > 0.05
+
+
+def test_a_lost_zone_back_cold_is_due_what_the_other_zones_answered() -> None:
+    """While the list still named it, it answered nothing: by that alone it would get next to nothing."""
+    bench = Bench(servers=0, counter=False)
+    warm = [replace(entry(f"{zone}{k}"), zone=zone) for zone in "ab" for k in range(2)]
+    bench.listed(*warm)
+    for _ in range(200):
+        (send,) = bench.ask()
+        assert isinstance(send, api.Send)
+        bench.end(send, Code.OK if send.server.startswith("a") else Code.UNREACHABLE)
+    back = [replace(e, launched=bench.now) if e.zone == "b" else e for e in warm]
+    bench.listed(*back, form=api.ListForm.CHANGES)
+    lost, other = (bench.gateway.groups[zone, ""].rate(1.0) for zone in "ba")
+    assert lost < 0.1 * other
+    assert bench.gateway.rate(back[-1]) >= 0.4 * other
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -121,3 +121,13 @@
     }
     assert len(outs) == 1
     assert "AddCount" in outs.pop()
+
+
+def test_what_the_servers_have_no_room_for_calls_no_counter() -> None:
+    """In overload half of all calls were made for requests that were refused all the same, and a
+    further call each took their units back: that crowded the counter of a large fleet."""
+    bench = Bench()
+    bench.gateway.out, bench.gateway.busy = 1000, 1000.0
+    actions = bench.ask(plan="plan")
+    assert [type(action) for action in actions] == [api.Refuse]
+    assert not bench.gateway.calls
