Let what cold servers are given follow the warm ones within seconds

Cause: a cold server's budget goes by what warm ones answer, averaged over 60 s (MEMORY, in sort and judge). When a zone goes or six in ten servers are replaced, the warm ones answer twice as much within seconds, and the cold ones, 0.3 to 0.8 of a server each, were given half of what they could do. Change: averaged over 8 s (PACE_DEPTH).

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -29,7 +29,8 @@
 ASK_UNITS = 1.0  # of the largest requests in a room; the chance of asking is their share at least
 SHARE = 0.1  # of the room that one request may stand for at most
 SILENT_AFTER = 3  # failed calls in a row are a silent counter
-MEMORY = 60.0  # s; a customer idle for this long is forgotten; answered units fade over it
+MEMORY = 60.0  # s; a customer idle for this long is forgotten
+PACE_DEPTH = 8.0  # s; what a warm server answers, and so what a cold one is given, is averaged over this
 MARGIN_PART = 1 / 12  # of the mean aim is the margin at most
 GAIN = 0.15  # weight of a new answer in averages of answer times and of slow answers
 SLOW_GAIN = 0.015  # weight of a new answer in the classes' usual times
@@ -365,7 +366,7 @@
     def sort(self, now: float) -> None:
         """Part the warm servers from the cold ones."""
         for pool in self.groups.values():
-            pool.recount(MEMORY, now)
+            pool.recount(PACE_DEPTH, now)
         self.fleet = [s for s in self.mine if self.warmth(s, now) >= 1.0]
         self.cold = [s for s in self.mine if self.warmth(s, now) < 1.0]
         for server in self.fleet:
@@ -480,7 +481,7 @@
                 self.latency += (took - self.latency) * SLOW_GAIN
                 self.ratios[name] += (event.took / self.latency - self.ratios[name]) * SLOW_GAIN
                 if self.warmth(server, now) >= 1.0:
-                    server.group.answered(job.request.units, server.entry.size, MEMORY, now)
+                    server.group.answered(job.request.units, server.entry.size, PACE_DEPTH, now)
             pace = took / self.latency
             if event.code is Code.OK or pace > server.group.pace * server.own.pace:
                 server.own.pace += (pace / server.group.pace - server.own.pace) * GAIN
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -208,3 +208,13 @@
     lost, other = (bench.gateway.groups[zone, ""].rate(1.0) for zone in "ba")
     assert lost < 0.1 * other
     assert bench.gateway.rate(back[-1]) >= 0.4 * other
+
+
+def test_what_cold_servers_are_due_follows_an_overload_within_seconds() -> None:
+    """Averaged over a minute, they got half of what they could do while the warm ones were full."""
+    fleet = Fleet(gateways=1)
+    fleet.play(40.0, rate=WARM * 2.0)
+    calm = fleet.gateways[0].rate(entry("s0"))
+    fleet.play(56.0, rate=WARM * 10.0)
+    assert calm == pytest.approx(2.0, rel=0.3)
+    assert fleet.gateways[0].rate(entry("s0")) > 8.0
