Spread the tries of broken watches over time, by the size of the fleet

All came back 0.1 s later and from then on in step, pauses doubling to 2 s without a draw (Watch.lost). Discovery answers 503, at once or after 2 s, works on calls that nobody waits for any more, and never recovered: 357 answers of 503, and 33 gateways heard nothing from 2 s to the end. They sent to servers long gone: 1,270 attempts unreachable, 650 turned away by servers that drain. Counted from the logs of all gateways. Checked: the same draw with pauses of 2 s at most helps nothing (357 again); pauses up to 16 s bring discovery back by 10 s (92), so it is the number of calls, not only their coming together. Change: pauses drawn from 0.5 to 1.5 times their length, from 0.05 s a gateway (0.1 s at least) to eight times that (2 s at least); the fleet's first tries are 20 a second whatever its size. A gateway whose discovery is silent is ready after 0.2 s, not 1 s.

--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import random
 from collections.abc import Callable
 
 import httptools
@@ -16,7 +17,9 @@
 
 SILENT_MOST = 2.5  # s; a watch brings an empty line each 2 s; asking anew costs the agent nothing
 OPEN_MOST = 2.0  # s; to connect
-BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries
+BACKOFF_LEAST, BACKOFF_MOST = 0.1, 2.0  # s between tries, of few gateways
+SLOT = 0.05  # s; a fleet's first tries are spread so that each gateway has this time of its own
+MOST_SLOTS = 8  # times that spread are the longest pauses
 MOST_LINE = 64 * MOST_BODY
 
 
@@ -90,12 +93,17 @@
         generation: int,
         on_list: Callable[[TargetList], None],
         on_alive: Callable[[], None],
+        gateways: int = 1,
+        seed: int = 0,
     ) -> None:
+        self.random = random.Random(seed)
+        self.least = max(BACKOFF_LEAST, SLOT * gateways)
+        self.most = max(BACKOFF_MOST, MOST_SLOTS * self.least)
         self.shared, self.address, self.generation = shared, address, generation
         self.on_list, self.on_alive = on_list, on_alive
         self.connection: WatchConnection | None = None
         self.told_at: float | None = None  # when discovery last had something to tell
-        self.wait = BACKOFF_LEAST
+        self.wait = self.least
         self.stopped = False
 
     def start(self) -> None:
@@ -105,11 +113,11 @@
         self.connection.dial(self.address, OPEN_MOST)
 
     def alive(self) -> None:
-        self.wait = BACKOFF_LEAST
+        self.wait = self.least
         self.on_alive()
 
     def told(self, told: TargetList) -> None:
-        self.wait = BACKOFF_LEAST
+        self.wait = self.least
         self.generation, self.told_at = told.generation, self.shared.clock.now()
         self.on_list(told)
 
@@ -117,7 +125,7 @@
         """Go on at this address at once, from the last version heard of: a reload has named it."""
         if address == self.address:
             return
-        self.address, self.wait = address, BACKOFF_LEAST
+        self.address, self.wait = address, self.least
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.end("reloaded")
@@ -128,8 +136,10 @@
             return
         self.connection = None
         if not self.stopped:
-            self.shared.clock.schedule(self.shared.clock.now() + self.wait, lambda now: self.start())
-            self.wait = min(self.wait * 2, BACKOFF_MOST)
+            # Watches of a whole fleet break in one moment: each gateway comes back at a time of its own.
+            pause = self.wait * (0.5 + self.random.random())
+            self.shared.clock.schedule(self.shared.clock.now() + pause, lambda now: self.start())
+            self.wait = min(self.wait * 2, self.most)
 
     def sweep(self, now: float) -> None:
         """A machine that vanished says nothing: silence is all there is to see."""
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -30,7 +30,7 @@
 log = logging.getLogger(__name__)
 
 SWEEP = 0.5  # s between looks at what is idle, silent or unfinished
-READY_AFTER = 1.0  # s; if discovery says nothing, the list known at the start must do
+READY_AFTER = 0.2  # s; if discovery says nothing, the list known at the start must do
 BACKLOG = 1024  # connections that the kernel holds for the listener
 DRAIN_TIME = 0.5  # s after SIGTERM in which new connections still come
 
@@ -68,7 +68,15 @@
         self.counter.bind(self.core)
         self.listener = Listener(self.shared, self.core, self.group.free_one)
         self.group.free_client = self.listener.free_client
-        self.watch = Watch(self.shared, config.discovery, config.known.generation, self.listed, self.ready)
+        self.watch = Watch(
+            self.shared,
+            config.discovery,
+            config.known.generation,
+            self.listed,
+            self.ready,
+            config.settings.gateways,
+            config.seed,
+        )
         self.server: asyncio.Server | None = None
         self.on_done: Callable[[], object] = lambda: None
         self.reread: Callable[[], Config] = lambda: config
