--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -7,7 +7,7 @@
 
 import math
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
 from hashlib import blake2b
 
@@ -97,8 +97,9 @@
 class Gateway(GatewayState):
     """The decisions of one gateway."""
 
-    def __init__(self, seed: int, settings: api.Settings) -> None:
+    def __init__(self, seed: int, settings: api.Settings, counts: Counter[str] | None = None) -> None:
         super().__init__()
+        self.counts: Counter[str] = Counter() if counts is None else counts
         self.settings, self.random = settings, random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: p for p in settings.plans}
@@ -130,10 +131,11 @@
         chance = 1.0 if account.plan.ceiling_rate else chance
         return (ASK_LEAST if self.silent else chance) * self.settings.counter
 
-    def ask(self, account: Account, tally: Tally, now: float) -> None:
+    def ask(self, account: Account, tally: Tally, now: float, why: str) -> None:
         """Tell what is pending and ask for the total, one call at a time."""
         if tally.flying is not None:
             return
+        self.counts[f"counter.for_{why}"] += 1
         tally.period, tally.asked_at = int(now // account.period), now
         amount = account.tell(tally, now, AMOUNT_MOST)
         name = account.name(tally)
@@ -168,7 +170,7 @@
                 if not job.done:
                     self.decide(job, told, now)
             if tally.pending < 0 and self.random.random() < self.chance(account):
-                self.ask(account, tally, now)
+                self.ask(account, tally, now, "taking_back")
 
     def on_late(self, event: api.CountAnswer, now: float) -> None:
         """A total after its time is as true as any, though nobody waits for it any more."""
@@ -214,6 +216,7 @@
         drawn = self.random.random() < account.gate(event.units)
         if drawn and self.full(kind, False, now):
             # A total would change nothing, and to tell the counter and take it back is two calls.
+            self.counts["refused.no_room"] += 1
             self.end(job)
             return
         wait = event.left > self.settings.counter_limit + self.margin
@@ -226,7 +229,7 @@
         job.counted = event.units if sure or single else event.units / chance if asked else 0.0
         account.admitted.pending += job.counted
         if asked and drawn:
-            self.ask(account, account.admitted, now)
+            self.ask(account, account.admitted, now, "request")
             account.waiting.append(job)
         else:
             self.decide(job, sure or not drawn, now, drawn)
@@ -254,13 +257,16 @@
             account.turned.pending += 0.0 if admitted else units
             ripe = account.turned.pending > min(account.room, account.spread)
             if ripe and self.random.random() < self.chance(account):
-                self.ask(account, account.turned, now)
+                self.ask(account, account.turned, now, "refusals")
             # A shut gate asks no more by itself: the totals that shut it must not be older than a depth.
             for tally in () if self.silent else (account.admitted, account.turned):
                 if account.depth < now - max(tally.read_at, tally.asked_at) < math.inf:
-                    self.ask(account, tally, now)
+                    self.ask(account, tally, now, "old_total")
+            why = "ceiling" if capped else "gate" if not drawn else "total" if told else "untold"
+            self.counts[f"refused.{why}"] += 1
             self.end(job)
             return
+        self.counts["admitted.extra" if extra else "admitted.told" if told else "admitted.untold"] += 1
         account.alone = max(account.alone - units, 0.0)
         account.ceiling -= units if split else 0.0
         self.dispatch(job, now)
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -29,6 +29,7 @@
 
 log = logging.getLogger(__name__)
 
+STATS = 5.0  # s between lines with the counters: a gateway that is killed prints none at its end
 SWEEP = 0.5  # s between looks at what is idle, silent or unfinished
 READY_AFTER = 0.2  # s; if discovery says nothing, the list known at the start must do
 BACKLOG = 1024  # connections that the kernel holds for the listener
@@ -63,7 +64,7 @@
         self.group = TargetGroup(self.shared, config.settings)
         self.counter = Counter(self.shared, config.counter, config.settings)
         ports = Ports(self.group, self.counter, clock)
-        self.core = Core(Gateway(config.seed, config.settings), ports, self.stats)
+        self.core = Core(Gateway(config.seed, config.settings, self.stats), ports, self.stats)
         self.group.core = self.core
         self.counter.bind(self.core)
         self.listener = Listener(self.shared, self.core, self.group.free_one)
@@ -92,6 +93,11 @@
         self.watch.start()
         self.clock.schedule(now + READY_AFTER, lambda late: self.ready())
         self.clock.schedule(now + SWEEP, self.sweep)
+        self.clock.schedule(now + STATS, self.tell)
+
+    def tell(self, now: float) -> None:
+        self.clock.schedule(now + STATS, self.tell)
+        self.stats.show()
 
     def listed(self, told: TargetList) -> None:
         self.group.listed(told)
--- a/tests/test_amounts.py
+++ b/tests/test_amounts.py
@@ -29,7 +29,7 @@
         for sign in (1, -1):
             tally = account.admitted
             tally.pending, tally.flying, bench.gateway.actions = sign * 1e10, None, []
-            bench.gateway.ask(account, tally, bench.now)
+            bench.gateway.ask(account, tally, bench.now, "request")
             told = only(bench.gateway.actions, api.AddCount)[0].amount
             self.assertAlmostEqual(told, sign * AMOUNT_MOST, delta=1.0)
             self.assertAlmostEqual(tally.pending + (tally.flying or 0.0), sign * 1e10, delta=1.0)
