--- a/benchmarks/fleet_days.py
+++ b/benchmarks/fleet_days.py
@@ -22,7 +22,7 @@
 from rich.table import Table
 
 STATS = re.compile(r"^([\d.]+) .*?\bstats (\{.*\})\s*$")
-DISCOVERY = re.compile(r"^([\d.]+) .* side=discovery .* code=(\w+)")
+DISCOVERY = re.compile(r"^([\d.]+) .* side=discovery .*code=(\w+)")
 START = re.compile(r"^([\d.]+) .* serves on ")
 
 
--- a/latchspoke/lab/experiment.py
+++ b/latchspoke/lab/experiment.py
@@ -41,9 +41,20 @@
     sigma: float
     report: Seconds
     late: Seconds
+    handshake: Seconds
+    connections: int
 
     def settings(self) -> NodeSettings:
-        return NodeSettings(self.cores, self.slots, self.room, self.cold, self.warm, self.report)
+        return NodeSettings(
+            self.cores,
+            self.slots,
+            self.room,
+            self.cold,
+            self.warm,
+            self.report,
+            self.handshake,
+            self.connections,
+        )
 
 
 class CounterRecord(msgspec.Struct, frozen=True):
--- a/latchspoke/lab/loopback/run.py
+++ b/latchspoke/lab/loopback/run.py
@@ -61,6 +61,8 @@
     served_by_nodes: dict[str, tuple[int, int]]
     interrupted: bool = False
     stats: list[dict[str, int]] = field(default_factory=list)  # gateways' counters, in virtual time
+    fallen: list[str] = field(default_factory=list)  # nodes pushed over while they were cold
+    most_links: int = 0  # connections that one node held at once, at most
 
 
 def trace_gateways(path: str, count: int) -> dict[str, int]:
--- a/latchspoke/lab/loopback/servers.py
+++ b/latchspoke/lab/loopback/servers.py
@@ -50,7 +50,7 @@
             self.abort()
             return
         host.links[self] = None
-        host.node.connected()
+        host.node.connected(len(host.links) + 1)
         if host.vanished and self.transport is not None:
             self.transport.pause_reading()
 
--- a/latchspoke/lab/node.py
+++ b/latchspoke/lab/node.py
@@ -2,7 +2,9 @@
 
 Requests in work share the cores evenly (processor sharing). So many are in work at once; beyond that they
 wait, and beyond the waiting room they are turned away unseen. A node that has just started is cold: its
-pace rises evenly from ``cold`` to the whole over ``warm_time``. Holding many requests costs pace.
+pace rises evenly from ``cold`` to the whole over ``warm_time``. Holding many requests costs pace. One
+that is pushed while it is cold, with ``fall_multiple`` times the work that it could do in ``fall_time``,
+falls over: it turns all away until it starts again.
 """
 
 from __future__ import annotations
@@ -26,6 +28,8 @@
     report_every: float = 0.5
     handshake: float = 0.002  # s of work that a new connection costs
     connections: int = 512
+    fall_multiple: float = 2.5
+    fall_time: float = 3.0
     crowding: float = 0.002  # part of the pace that each request held beyond the slots costs
 
 
@@ -54,16 +58,21 @@
     debt: float = 0.0  # work of handshakes not yet done
     served: int = 0
     declined: int = 0
+    most_links: int = 0  # connections held at once, at most
+    fallen: bool = False
+    pushed: deque[tuple[float, float]] = field(default_factory=deque)  # (time, work) sent while it is cold
 
     def pace(self, now: float, slow: float = 1.0) -> float:
         """Part of the whole pace at which it works."""
-        settings = self.settings
-        age = now - self.started
-        warm = 1.0
-        if age < settings.warm_time:
-            warm = settings.cold + (1 - settings.cold) * max(age, 0.0) / settings.warm_time
-        held = max(len(self.working) + len(self.waiting) - settings.slots, 0)
-        return warm * slow / (1 + settings.crowding * held)
+        held = max(len(self.working) + len(self.waiting) - self.settings.slots, 0)
+        return self.warmth(now) * slow / (1 + self.settings.crowding * held)
+
+    def warmth(self, now: float) -> float:
+        """Part of the whole pace that its age allows."""
+        settings, age = self.settings, now - self.started
+        if age >= settings.warm_time:
+            return 1.0
+        return settings.cold + (1 - settings.cold) * max(age, 0.0) / settings.warm_time
 
     def share(self, now: float, slow: float) -> float:
         """Core seconds a second that each request in work gets."""
@@ -100,6 +109,9 @@
     def arrive(self, ident: Hashable, work: float, now: float) -> bool:
         """Take a request in; False if it is turned away. ``advance`` to now comes first."""
         work, self.debt = work + self.debt, 0.0
+        if self.push(work, now):
+            self.declined += 1
+            return False
         job = Job(ident, work, now)
         if len(self.working) < self.settings.slots:
             self.working.append(job)
@@ -110,9 +122,21 @@
             return False
         return True
 
-    def connected(self) -> None:
+    def push(self, work: float, now: float) -> bool:
+        """Whether it is over, or falls with this."""
+        settings = self.settings
+        if now - self.started < settings.warm_time:
+            self.pushed.append((now, work))
+            while self.pushed[0][0] <= now - settings.fall_time:
+                self.pushed.popleft()
+            able = settings.cores * self.warmth(now) * settings.fall_time
+            self.fallen |= sum(sent for _, sent in self.pushed) > settings.fall_multiple * able
+        return self.fallen
+
+    def connected(self, links: int = 0) -> None:
         """A new connection costs work, which the next request on the node pays for."""
         self.debt += self.settings.handshake
+        self.most_links = max(self.most_links, links)
 
     def cancel(self, ident: Hashable) -> None:
         """Waiting work of a client that has left is dropped; running work goes on."""
@@ -139,4 +163,6 @@
         lost = [*self.working, *self.waiting]
         self.working, self.waiting, self.started, self.now = [], deque(), now, now
         self.debt = self.busy = 0.0
+        self.fallen = False
+        self.pushed.clear()
         return lost
--- a/latchspoke/lab/virtual_run.py
+++ b/latchspoke/lab/virtual_run.py
@@ -104,6 +104,8 @@
             self.judge.attempts, served,
         )  # fmt: skip
         result.stats = [dict(sorted(gateway.node.stats.items())) for gateway in gateways]
+        result.fallen = [name for name, host in world.nodes.items() if host.node.fallen]
+        result.most_links = max(host.node.most_links for host in world.nodes.values())
         return result
 
     def gateway(self, loop: asyncio.AbstractEventLoop, index: int, world: World) -> VirtualGateway:
--- a/latchspoke/records/schemas/lab.cue
+++ b/latchspoke/records/schemas/lab.cue
@@ -42,6 +42,8 @@
 	sigma: number & >=0 | *0.3
 	report: time.Duration | *"500ms"
 	late: time.Duration | *"1s" // until discovery tells of a change
+	handshake: time.Duration | *"2ms" // work that a new connection costs
+	connections: int & >=1 | *512 // held at once
 }
 
 #Counter: {
