Hold the limit on attempts out by the servers' strength, and see a surge in 0.7 s

Change: the limit is kept for each warm server, a cold one counts by its warmth; BUSY_DEPTH 0.7 s; with no warm server the cold ones' own budget alone decides (a test of 400 gateways showed two chances in a row).

--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -44,7 +44,7 @@
 HOLDERS = 8.0  # gateways that send to one server, at least
 TARGET = 0.6  # an answer that takes more than this share of its aim is slow ...
 SLOW_SHARE = 0.2  # ... and when more than this share are, the limit on attempts out falls
-LIMIT_START, LIMIT_LEAST = 6.0, 2.0  # attempts out a server by all gateways: at first, and always
+LIMIT_START, LIMIT_LEAST = 6.0, 2.0  # attempts out a warm server by all gateways: at first, and always
 LIMIT_GROWTH = 0.25  # attempts a server; what a quick answer adds at most when the limit is used
 LIMIT_CUT = 0.85  # what a slow round leaves of the limit on attempts out
 LEAST_WORTH = 0.75  # share of the limit open to the class of least worth for its work
@@ -112,6 +112,7 @@
         self.fitting: dict[tuple[str, bool], float] = {}
         self.silent = not settings.counter
         self.mine: list[Server] = []
+        self.limit = LIMIT_START
         self.holders = float(max(settings.gateways, 1))
 
     def start(self, now: float) -> list[api.Action]:
@@ -454,23 +455,25 @@
                 job.slow = True
                 self.adapt(1.0, now)
         crowd = min(self.out, max(self.busy, self.out / 4))
-        return bool(self.mine) and self.random.random() >= bound - crowd
+        # Cold ones alone get what is due to them and no more: two chances would leave them nearly nothing.
+        return bool(self.fleet) and self.random.random() >= bound - crowd
 
     def bounds(self, now: float) -> float:
-        """The limit on attempts out, cold servers by their warmth; never under what shows a recovery."""
+        """This gateway's part of the limit on attempts out, cold servers by their warmth."""
+        # By what the servers can do: when most are drained or cold at once, what all could bear jams them.
         strength = len(self.fleet) + sum(self.warmth(server, now) for server in self.cold)
-        share = strength / self.holders
-        self.limit = max(self.limit or LIMIT_START * share, LIMIT_LEAST * share)
-        return self.limit
+        return self.limit * strength / self.holders
 
     def adapt(self, slow: float, now: float) -> None:
         """Bound the work out by slow answers, of overload or a slow fleet; a few heavy ones do little."""
         self.slow += (slow - self.slow) * GAIN
         rounds, self.heard_at = (now - self.heard_at) / self.latency, now
+        bound = self.bounds(now)
         if self.slow > SLOW_SHARE:
-            self.limit = self.bounds(now) * max(LIMIT_CUT**rounds, 0.5)
-        elif self.out >= self.bounds(now) * LEAST_WORTH:
-            self.limit += min(1 / self.limit, LIMIT_GROWTH * len(self.mine) / self.holders)
+            self.limit = max(self.limit * max(LIMIT_CUT**rounds, 0.5), LIMIT_LEAST)
+        elif self.out >= bound * LEAST_WORTH and bound:
+            gain = min(1 / bound, LIMIT_GROWTH * len(self.mine) / self.holders)
+            self.limit *= 1 + gain / bound
 
     def judge(self, server: Server, event: api.Outcome, job: Job, now: float) -> None:
         """Learn from an outcome; a fast failure never makes a server look fast."""
--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -21,7 +21,8 @@
 FORGET = 20.0  # s; faults fade over this time, so that who failed is tried again
 REPORT_DEPTH = 0.5  # s; what a load report says fades over this time
 OVERDUE_MOST = 64  # calls timed out of which a total is still hoped for
-BUSY_DEPTH = 2.0  # s; depth of the mean of attempts out
+# s; depth of the mean of attempts out: some usual answers. In a surge a longer one lets in the more.
+BUSY_DEPTH = 0.7
 FRESH = 2.0  # depths; totals are averaged over this to know a customer's habit
 CAP_START = 1 / 3  # of a gateway's part of a ceiling at first; the rest is the most it holds
 
@@ -275,7 +276,7 @@
     out: int = 0
     busy: float = 0.0
     busy_at: float = 0.0
-    limit: float = 0.0
+    limit: float = 0.0  # attempts out a warm server, by all gateways
     slow: float = 0.0
     heard_at: float = 0.0
     sent: defaultdict[str, deque[tuple[Job, float]]] = field(default_factory=lambda: defaultdict(deque))
--- a/latchspoke/net/view.py
+++ b/latchspoke/net/view.py
@@ -122,7 +122,7 @@
         "load": {
             "flows": len(node.core.flows),
             "forwards": gateway.out,
-            "forwards_limit": round(gateway.limit, 2),
+            "forwards_limit": round(gateway.bounds(now), 2),
             "customers": len(gateway.accounts),
             "clients": len(listener.clients),
             "sockets": node.shared.sockets.used,
