--- /dev/null
+++ b/latchspoke/consensus/member.py
@@ -0,0 +1,600 @@
+"""One member of a replicated log: Raft with trial votes, a leader that checks its majority, reads by turns.
+
+Pure. Messages, proposals and the time (monotonic, in s) go in; ``take`` gives what comes of them. Whoever
+drives it keeps one order: what ``take`` gives to be stored is synced first, then the messages are sent, then
+the committed entries are applied. While the disk refuses, nothing of that output may be sent, and messages
+that come meanwhile are dropped, which every member has to bear anyway.
+
+A leader proves its place for a read by a *turn*: a round of messages begun after the question came, answered
+by a majority. That takes no word about clocks. A new leader was elected after any turn of an older one.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from latchspoke.consensus.log import Log, members_entry
+from latchspoke.consensus.records import (
+    Append,
+    Appended,
+    AskVote,
+    Entry,
+    GiveVote,
+    Hello,
+    Install,
+    Kind,
+    Known,
+    Members,
+    Message,
+    Snapshot,
+    Stored,
+    Vow,
+    Wire,
+    Yield,
+)
+
+HELLO_EVERY = 0.5  # elections; a member that has just started asks again for later starts of it
+BATCH_MOST = 256  # entries of one message
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    TRIAL = "trial"  # asks whether it would be elected; nobody's term has moved
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    HALTED = "halted"  # its disk is older than what others have heard of it
+
+
+class NotLeaderError(Exception):
+    """Only the leader can do this; ``leader`` is who that is as far as is known, or ''."""
+
+    def __init__(self, leader: str) -> None:
+        super().__init__(f"the leader is {leader or 'not known'}")
+        self.leader = leader
+
+
+class ChangeError(Exception):
+    """The members can't be changed like this now; one line says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """In seconds. A follower stands after ``election`` to twice that without a leader."""
+
+    beat: float = 0.1
+    election: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """For the log of the operators."""
+
+    code: str
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Output:
+    """What is to be done, in the order of these fields; see the module."""
+
+    vow: Vow | None = None
+    snapshot: Snapshot | None = None  # came from the leader: replaces all entries up to its index
+    first: int = 0  # if above 0: the entries stored from here on are replaced by these
+    entries: tuple[Entry, ...] = ()
+    messages: list[Wire] = field(default_factory=list)
+    restore: Snapshot | None = None  # the state machines begin anew from this
+    committed: tuple[Entry, ...] = ()
+    confirmed: list[tuple[int, int]] = field(default_factory=list)  # reads, and the index they must see
+    refused: list[int] = field(default_factory=list)  # reads that can't be answered here any more
+    notes: list[Note] = field(default_factory=list)
+
+    @property
+    def to_store(self) -> bool:
+        return self.vow is not None or self.snapshot is not None or self.first > 0
+
+
+@dataclass(slots=True)
+class Peer:
+    """What a leader knows of another member."""
+
+    next: int
+    heard_at: float
+    match: int = 0
+    turn: int = 0
+    boot: int = 0
+    installing_until: float = 0.0
+
+
+@dataclass(slots=True)
+class Read:
+    ident: int
+    index: int
+
+
+class Member:
+    """See the module. Not for several threads."""
+
+    def __init__(
+        self, stored: Stored, timing: Timing, draw: random.Random, now: float, applied: int = 0
+    ) -> None:
+        """``applied``: the state machines already hold all up to here (at least the snapshot)."""
+        self.identity, self.boot, self.timing, self.draw = stored.identity, stored.boot, timing, draw
+        self.vow = stored.vow
+        self.log = Log(stored.snapshot, stored.entries)
+        self.commit = self.applied = max(stored.snapshot.index, applied)
+        self.role, self.leader = Role.FOLLOWER, ""
+        self.leader_at = -math.inf  # when the leader was last heard
+        self.peers: dict[str, Peer] = {}
+        self.votes: set[str] = set()
+        self.boots: dict[str, int] = {}
+        # A store that has been started before may be an old copy: it asks before it votes.
+        self.mute = stored.boot > 1
+        self.greeted: set[str] = set()
+        self.hello_at = now
+        self.elected_at = 0.0
+        self.elected_index = 0  # where the first entry of this leader's term stands
+        self.turn = 0
+        self.beat_at = 0.0
+        self.asked: list[Read] = []  # reads for the next turn
+        self.turns: dict[int, list[Read]] = {}  # reads by the turn that confirms them
+        self.output = Output()
+        self.unstored = 0
+        self.saved_vow = self.vow
+        if stored.snapshot.index:
+            self.output.restore = stored.snapshot
+        self.wait(now)
+
+    # What others ask.
+
+    @property
+    def members(self) -> Members:
+        return self.log.members
+
+    @property
+    def term(self) -> int:
+        return self.vow.term
+
+    @property
+    def votes_itself(self) -> bool:
+        return self.identity in self.members.voters
+
+    @property
+    def settled(self) -> bool:
+        """Whether this is a leader that knows all that was ever committed."""
+        return self.role is Role.LEADER and self.commit >= self.elected_index
+
+    def due(self) -> float:
+        """When ``tick`` is next wanted."""
+        if self.role is Role.HALTED:
+            return math.inf
+        times = [self.beat_at if self.role is Role.LEADER else self.election_at]
+        if self.mute:
+            times.append(self.hello_at)
+        return min(times)
+
+    def propose(self, body: bytes, now: float) -> Entry:
+        """Raises NotLeaderError. Committed when this very entry comes out; lost if another has its place."""
+        return self.add(Kind.DATA, body, now)
+
+    def change(self, members: Members, now: float) -> Entry:
+        """One voter more or one less. Raises NotLeaderError, ChangeError."""
+        self.must_lead()
+        if not self.settled:
+            raise ChangeError("this leader has not yet committed an entry of its term")
+        if self.log.members_index() > self.commit:
+            raise ChangeError("a change of the members is under way")
+        if len(set(members.voters) ^ set(self.members.voters)) > 1:
+            raise ChangeError("one voter can be added or removed at a time")
+        if not members.voters:
+            raise ChangeError("nobody would be left to vote")
+        index = self.log.last + 1
+        entry = members_entry(index, self.term, members)
+        self.add_entry(entry, now)
+        return entry
+
+    def read(self, ident: int, now: float) -> None:
+        """Comes back in ``confirmed`` with the index that the answer must show, or in ``refused``."""
+        self.must_lead()
+        self.asked.append(Read(ident, max(self.commit, self.elected_index)))
+        if not self.turns:
+            self.broadcast(now)
+
+    def hand_over(self, now: float) -> str:
+        """Let the member whose log is most complete take over; who that is, or '' if nobody can."""
+        self.must_lead()
+        fresh = {n: p for n, p in self.peers.items() if n in self.members.voters and self.fresh(p, now)}
+        name = max(fresh, key=lambda name: (fresh[name].match, name), default="")
+        if name:
+            self.say(Yield, name)
+            self.note("hands-over", name)
+        return name
+
+    def compact(self, index: int, body: bytes) -> Snapshot:
+        """The state machines hold all up to ``index``, which has been applied, as ``body``."""
+        term = self.log.term(index)
+        assert term is not None and index <= self.applied
+        snapshot = Snapshot(index, term, self.log.members_at(index), body)
+        self.log.compact(snapshot)
+        return snapshot
+
+    def take(self) -> Output:
+        """All that has come up since the last call."""
+        output, self.output = self.output, Output()
+        if self.vow != self.saved_vow:
+            output.vow = self.saved_vow = self.vow
+        if self.unstored:
+            output.first, self.unstored = self.unstored, 0
+            output.entries = self.log.between(output.first, self.log.last)
+        if self.commit > self.applied:
+            output.committed = self.log.between(self.applied + 1, self.commit)
+            self.applied = self.commit
+        return output
+
+    # Time.
+
+    def tick(self, now: float) -> None:
+        if self.mute and now >= self.hello_at and self.role is not Role.HALTED:
+            self.greet(now)
+        if self.role is Role.LEADER:
+            heard = {name for name, peer in self.peers.items() if self.fresh(peer, now)}
+            if not self.members.quorum(heard | {self.identity}):
+                self.note("lost-majority")
+                self.follow("", now)
+            elif now >= self.beat_at:
+                self.broadcast(now)
+        elif self.role is not Role.HALTED and now >= self.election_at:
+            self.stand(now)
+
+    def wait(self, now: float) -> None:
+        self.election_at = now + self.timing.election * (1 + self.draw.random())
+
+    def fresh(self, peer: Peer, now: float) -> bool:
+        return now - peer.heard_at < self.timing.election
+
+    def greet(self, now: float) -> None:
+        self.hello_at = now + HELLO_EVERY * self.timing.election
+        for name in self.others():
+            self.say(Hello, name)
+        self.heed_greetings()
+
+    def heed_greetings(self) -> None:
+        if self.mute and self.members.quorum(self.greeted | {self.identity}):
+            self.mute = False
+
+    # Elections.
+
+    def stand(self, now: float) -> None:
+        """First ask whether it would be elected: one that was cut off must not drive up the terms."""
+        self.wait(now)
+        self.leader = ""
+        if not self.votes_itself or self.mute:
+            self.role = Role.FOLLOWER
+            return
+        self.role, self.votes = Role.TRIAL, {self.identity}
+        for name in self.voters_else():
+            self.ask_vote(name, trial=True)
+        self.count_votes(now)
+
+    def campaign(self, now: float) -> None:
+        self.role, self.votes = Role.CANDIDATE, {self.identity}
+        self.vow = Vow(self.term + 1, self.identity)
+        self.wait(now)
+        self.note("stands", f"term {self.term}")
+        for name in self.voters_else():
+            self.ask_vote(name, trial=False)
+        self.count_votes(now)
+
+    def ask_vote(self, name: str, trial: bool) -> None:
+        last = self.log.last, self.log.last_term
+        self.output.messages.append(
+            AskVote(self.identity, name, self.boot, self.term + trial, last[0], last[1], trial)
+        )
+
+    def count_votes(self, now: float) -> None:
+        if not self.members.quorum(self.votes):
+            return
+        if self.role is Role.TRIAL:
+            self.campaign(now)
+        elif self.role is Role.CANDIDATE:
+            self.lead(now)
+
+    def lead(self, now: float) -> None:
+        self.role, self.leader, self.elected_at = Role.LEADER, self.identity, now
+        self.peers = {name: Peer(self.log.last + 1, now) for name in self.others()}
+        self.asked, self.turns = [], {}
+        self.note("leads", f"term {self.term}")
+        self.elected_index = self.log.last + 1
+        # Entries of former terms are committed with this one, and never by their count alone.
+        self.add_entry(Entry(self.elected_index, self.term), now)
+
+    def on_ask_vote(self, message: AskVote, now: float) -> None:
+        whole = (message.last_term, message.last_index) >= (self.log.last_term, self.log.last)
+        if message.trial:
+            granted = whole and message.term > self.term and not self.mute
+            term = message.term if granted else self.term
+            self.output.messages.append(
+                GiveVote(self.identity, message.source, self.boot, term, granted, True)
+            )
+            return
+        free = self.vow.vote in ("", message.source)
+        granted = message.term == self.term and free and whole and not self.mute
+        if granted:
+            self.vow = Vow(self.term, message.source)
+            self.wait(now)
+        self.output.messages.append(
+            GiveVote(self.identity, message.source, self.boot, self.term, granted, False)
+        )
+
+    def on_give_vote(self, message: GiveVote, now: float) -> None:
+        wanted = Role.TRIAL if message.trial else Role.CANDIDATE
+        term = self.term + message.trial
+        if message.granted and self.role is wanted and message.term == term:
+            self.votes.add(message.source)
+            self.count_votes(now)
+
+    def on_yield(self, message: Yield, now: float) -> None:
+        if self.votes_itself and not self.mute and message.term == self.term:
+            # The leader itself has asked for it, so nobody who hears it need stand by that leader.
+            self.campaign(now)
+
+    def follow(self, leader: str, now: float, term: int | None = None) -> None:
+        """Step back, and up to this term if it is a later one."""
+        if term is not None and term > self.term:
+            self.vow = Vow(term)
+        if self.role is Role.LEADER:
+            self.note("steps-back", f"term {self.term}")
+            reads = [read for turn in self.turns.values() for read in turn] + self.asked
+            self.output.refused += [read.ident for read in reads]
+            self.asked, self.turns, self.peers = [], {}, {}
+        if leader and leader != self.leader:
+            self.note("follows", f"{leader}, term {self.term}")
+        self.role, self.leader = Role.FOLLOWER, leader
+        self.wait(now)
+
+    # Messages.
+
+    def receive(self, message: Wire, now: float) -> None:
+        """Whatever is not for this identity, or from a sender's earlier start, is dropped."""
+        if message.target != self.identity or self.role is Role.HALTED:
+            return
+        known = self.boots.get(message.source, 0)
+        if message.boot < known:
+            self.tell_known(message.source, known)
+            return
+        self.boots[message.source] = message.boot
+        if isinstance(message, Hello):
+            self.tell_known(message.source, message.boot)
+            return
+        if isinstance(message, Known):
+            self.on_known(message)
+            return
+        if isinstance(message, AskVote) and self.stands_by(message, now):
+            return
+        prospective = isinstance(message, AskVote | GiveVote) and message.trial
+        if message.term > self.term and not (prospective and getattr(message, "granted", True)):
+            leads = message.source if isinstance(message, Append | Install) else ""
+            self.follow(leads, now, message.term)
+        if message.term < self.term:
+            self.on_old_term(message)
+            return
+        HANDLERS[type(message)](self, message, now)
+
+    def stands_by(self, message: AskVote, now: float) -> bool:
+        """Whether a leader is at work, so that no other is wanted: removed or cut-off members ask often."""
+        if self.leader in ("", message.source) or (not message.trial and message.term == self.term + 1):
+            # Whoever stands at the very next term has passed a trial, or the leader itself has asked it to.
+            return False
+        return self.role is Role.LEADER or now - self.leader_at < self.timing.election
+
+    def on_old_term(self, message: Message) -> None:
+        """A leader or candidate of an earlier term is told of this one."""
+        if isinstance(message, Append | Install):
+            self.say(Appended, message.source)
+        elif isinstance(message, AskVote):
+            self.say(GiveVote, message.source, trial=message.trial)
+
+    def tell_known(self, name: str, latest: int) -> None:
+        self.say(Known, name, latest=latest)
+
+    def on_known(self, message: Known) -> None:
+        if message.latest > self.boot:
+            self.role, self.leader = Role.HALTED, ""
+            self.note("old-disk", f"start {self.boot}; {message.source} has heard of start {message.latest}")
+            return
+        self.greeted.add(message.source)
+        self.heed_greetings()
+
+    def on_append(self, message: Append, now: float) -> None:
+        self.hear_leader(message.source, now)
+        before = message.before_index
+        if before < self.log.snapshot.index:
+            # All that is committed is the same everywhere, so up to there the logs agree.
+            self.confirm(message.source, self.commit, message.turn)
+            return
+        if self.log.term(before) != message.before_term:
+            self.say(Appended, message.source, index=self.hint(before), turn=message.turn)
+            return
+        for entry in message.entries:
+            term = self.log.term(entry.index)
+            if term == entry.term:
+                continue
+            if term is not None:
+                assert entry.index > self.commit, "a committed entry can't be replaced"
+                self.log.cut(entry.index)
+            self.log.append(entry)
+            self.to_store(entry.index)
+        last = before + len(message.entries)
+        self.commit = max(self.commit, min(message.commit, last))
+        self.confirm(message.source, last, message.turn)
+
+    def hint(self, before: int) -> int:
+        """Where the leader should try next: before all entries of the term that doesn't fit."""
+        if before > self.log.last:
+            return self.log.last
+        term, index = self.log.term(before), before - 1
+        while index > self.commit and self.log.term(index) == term:
+            index -= 1
+        return index
+
+    def on_install(self, message: Install, now: float) -> None:
+        self.hear_leader(message.source, now)
+        if message.snapshot.index > self.commit:
+            self.log.compact(message.snapshot)
+            self.commit = self.applied = message.snapshot.index
+            self.output.snapshot = self.output.restore = message.snapshot
+            self.to_store(self.log.first)
+            self.note("snapshot", f"up to {message.snapshot.index}")
+        self.confirm(message.source, self.commit, message.turn)
+
+    def hear_leader(self, leader: str, now: float) -> None:
+        if self.leader != leader or self.role is not Role.FOLLOWER:
+            self.follow(leader, now)
+        self.leader_at = now
+        self.wait(now)
+
+    def confirm(self, leader: str, index: int, turn: int) -> None:
+        self.say(Appended, leader, ok=True, index=index, turn=turn)
+
+    # The leader's part.
+
+    def must_lead(self) -> None:
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+
+    def add(self, kind: Kind, body: bytes, now: float) -> Entry:
+        self.must_lead()
+        entry = Entry(self.log.last + 1, self.term, kind, body)
+        self.add_entry(entry, now)
+        return entry
+
+    def add_entry(self, entry: Entry, now: float) -> None:
+        self.log.append(entry)
+        self.to_store(entry.index)
+        if entry.kind is Kind.MEMBERS:
+            known = self.peers
+            self.peers = {n: known.get(n) or Peer(entry.index, now) for n in self.others()}
+        self.broadcast(now)
+        self.advance(now)
+
+    def broadcast(self, now: float) -> None:
+        """A turn: to every peer what it lacks, or a heartbeat."""
+        self.turn += 1
+        self.beat_at = now + self.timing.beat
+        if self.asked:
+            self.turns[self.turn], self.asked = self.asked, []
+        for name, peer in self.peers.items():
+            self.send(name, peer, now)
+        self.confirm_reads()
+
+    def send(self, name: str, peer: Peer, now: float) -> None:
+        if peer.next < self.log.first:
+            if now >= peer.installing_until:
+                peer.installing_until = now + self.timing.election
+                self.say(Install, name, snapshot=self.log.snapshot, turn=self.turn)
+                return
+            # Meanwhile it is told at least that this leader lives; it can't fit, and says so.
+            self.say_append(name, self.log.snapshot.index, (), 0)
+            return
+        entries = self.log.between(peer.next, self.log.last, BATCH_MOST)
+        self.say_append(name, peer.next - 1, entries, self.commit)
+        peer.next += len(entries)
+
+    def say_append(self, name: str, before: int, entries: tuple[Entry, ...], commit: int) -> None:
+        term = self.log.term(before)
+        assert term is not None
+        self.say(
+            Append, name, before_index=before, before_term=term, entries=entries, commit=commit,
+            turn=self.turn,
+        )  # fmt: skip
+
+    def on_appended(self, message: Appended, now: float) -> None:
+        peer = self.peers.get(message.source)
+        if self.role is not Role.LEADER or peer is None:
+            return
+        if peer.boot != message.boot:
+            # What it had before its start counts again once it says so.
+            peer.boot, peer.match = message.boot, 0
+        peer.heard_at = now
+        peer.turn = max(peer.turn, message.turn)
+        self.confirm_reads()
+        if not message.ok:
+            peer.next = max(min(peer.next, message.index + 1), peer.match + 1)
+            if now >= peer.installing_until:
+                self.send(message.source, peer, now)
+            return
+        peer.match = max(peer.match, message.index)
+        peer.next = max(peer.next, peer.match + 1)
+        if peer.match + 1 >= self.log.first:
+            peer.installing_until = 0.0
+        self.advance(now)
+        if self.role is Role.LEADER and peer.next <= self.log.last:
+            self.send(message.source, peer, now)
+        if self.asked and not self.turns:
+            self.broadcast(now)
+        self.promote(message.source, peer, now)
+
+    def advance(self, now: float) -> None:
+        """Commit what a majority has, if an entry of this very term is the last of it."""
+        matches = {name: peer.match for name, peer in self.peers.items()}
+        matches[self.identity] = self.log.last
+        found = sorted((matches.get(name, 0) for name in self.members.voters), reverse=True)
+        index = found[self.members.majority - 1] if found else 0
+        if index > self.commit and self.log.term(index) == self.term:
+            self.commit = index
+            self.confirm_reads()
+            if not self.votes_itself and self.log.members_index() <= index:
+                # Removed, and all that decided it is committed: the others elect one of theirs.
+                self.note("removed")
+                self.broadcast(now)
+                self.follow("", now)
+
+    def confirm_reads(self) -> None:
+        """Reads whose turn a majority has answered, once this leader knows all that was committed."""
+        if not self.settled:
+            return
+        for turn in sorted(self.turns):
+            heard = {name for name, peer in self.peers.items() if peer.turn >= turn}
+            if not self.members.quorum(heard | {self.identity}):
+                break
+            self.output.confirmed += [(read.ident, read.index) for read in self.turns.pop(turn)]
+
+    def promote(self, name: str, peer: Peer, now: float) -> None:
+        """A learner that has caught up votes from now on."""
+        members = self.members
+        if name not in members.learners or peer.match < self.commit or not self.settled:
+            return
+        if self.log.members_index() <= self.commit:
+            learners = tuple(n for n in members.learners if n != name)
+            self.note("promoted", name)
+            self.change(Members((*members.voters, name), learners), now)
+
+    # Small parts.
+
+    def others(self) -> list[str]:
+        return [name for name in self.members.all if name != self.identity]
+
+    def voters_else(self) -> list[str]:
+        return [name for name in self.members.voters if name != self.identity]
+
+    def say(self, kind: Callable[..., Wire], target: str, **fields: object) -> None:
+        self.output.messages.append(kind(self.identity, target, self.boot, self.term, **fields))
+
+    def to_store(self, index: int) -> None:
+        self.unstored = min(self.unstored or index, index)
+
+    def note(self, code: str, detail: str = "") -> None:
+        self.output.notes.append(Note(code, detail))
+
+
+HANDLERS: dict[type, Callable[[Member, Message, float], None]] = {
+    AskVote: Member.on_ask_vote,  # type: ignore[dict-item]
+    GiveVote: Member.on_give_vote,  # type: ignore[dict-item]
+    Append: Member.on_append,  # type: ignore[dict-item]
+    Install: Member.on_install,  # type: ignore[dict-item]
+    Appended: Member.on_appended,  # type: ignore[dict-item]
+    Yield: Member.on_yield,  # type: ignore[dict-item]
+}
--- /dev/null
+++ b/latchspoke/consensus/records.py
@@ -0,0 +1,159 @@
+"""What members write down and say to one another: typed records, encoded with msgspec.
+
+An identity is a member's name and the number drawn when its store was made: ``a1#5be2a07c``. A member that
+has lost its disk is so another one under the same name, and what it once promised can't be promised twice.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class RecordsError(ValueError):
+    """What was read is no such record; one line."""
+
+
+class Kind(Enum):
+    """What an entry is for."""
+
+    NOTHING = "nothing"  # the first entry of a leader's term
+    DATA = "data"  # for the state machines
+    MEMBERS = "members"  # who the members are, in force from the moment it stands in a log
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """One place of the log."""
+
+    index: int
+    term: int
+    kind: Kind = Kind.NOTHING
+    body: bytes = b""
+
+
+class Members(msgspec.Struct, frozen=True):
+    """Those who vote, and those who only follow until they have caught up; by identity."""
+
+    voters: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        return self.voters + self.learners
+
+    @property
+    def majority(self) -> int:
+        return len(self.voters) // 2 + 1
+
+    def quorum(self, those: set[str]) -> bool:
+        """Whether a majority of the voters is among these."""
+        return bool(self.voters) and sum(voter in those for voter in self.voters) >= self.majority
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """All that the entries up to ``index`` made of the state machines, and the members then."""
+
+    index: int = 0
+    term: int = 0
+    members: Members = Members()
+    body: bytes = b""
+
+
+class Vow(msgspec.Struct, frozen=True):
+    """What a member may never go back on: its term, and whom it has given its vote in it."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """All that a member finds on its disk at a start."""
+
+    identity: str
+    boot: int  # starts of this store so far, this one counted
+    vow: Vow = Vow()
+    snapshot: Snapshot = Snapshot()
+    entries: tuple[Entry, ...] = ()
+
+
+class Message(msgspec.Struct, frozen=True, tag_field="t", omit_defaults=True):
+    """From one identity to another. ``boot`` counts the sender's starts, so that an old disk is found out."""
+
+    source: str
+    target: str
+    boot: int
+    term: int
+
+
+class AskVote(Message, frozen=True, tag="ask-vote"):
+    """``trial``: a question without consequences, before a term is spent on it."""
+
+    last_index: int = 0
+    last_term: int = 0
+    trial: bool = False
+
+
+class GiveVote(Message, frozen=True, tag="give-vote"):
+    granted: bool = False
+    trial: bool = False
+
+
+class Append(Message, frozen=True, tag="append"):
+    """Entries after ``before``; without any it is a heartbeat. ``turn`` numbers the leader's rounds."""
+
+    before_index: int = 0
+    before_term: int = 0
+    entries: tuple[Entry, ...] = ()
+    commit: int = 0
+    turn: int = 0
+
+
+class Install(Message, frozen=True, tag="install"):
+    """A snapshot for a member whose next entries are no longer in the leader's log."""
+
+    snapshot: Snapshot = Snapshot()
+    turn: int = 0
+
+
+class Appended(Message, frozen=True, tag="appended"):
+    """``index``: up to here the log is the leader's and synced; or where to try again, if not ``ok``."""
+
+    ok: bool = False
+    index: int = 0
+    turn: int = 0
+
+
+class Hello(Message, frozen=True, tag="hello"):
+    """A member that has just started asks whether anybody knows a later start of it."""
+
+
+class Known(Message, frozen=True, tag="known"):
+    """The latest start that the sender has heard of."""
+
+    latest: int = 0
+
+
+class Yield(Message, frozen=True, tag="yield"):
+    """The leader leaves: this member, whose log is whole, is to stand at once."""
+
+
+Wire = AskVote | GiveVote | Append | Install | Appended | Hello | Known | Yield
+ENCODER = msgspec.msgpack.Encoder()
+DECODER: msgspec.msgpack.Decoder[Wire] = msgspec.msgpack.Decoder(Wire)
+
+
+def encode(message: Wire) -> bytes:
+    return ENCODER.encode(message)
+
+
+def decode(data: bytes) -> Wire:
+    """Raises RecordsError."""
+    try:
+        return DECODER.decode(data)
+    except msgspec.MsgspecError as e:
+        raise RecordsError(f"no message of a member: {e}") from None
+
+
+def name_of(identity: str) -> str:
+    return identity.partition("#")[0]
--- a/latchspoke/console/lab.py
+++ b/latchspoke/console/lab.py
@@ -2,10 +2,12 @@
 
 Usage:
   latchspoke lab run [options] EXPERIMENT
+  latchspoke lab schedules [options]
   latchspoke lab -h | --help
 
 Commands:
-  run  Play every variant of an experiment, as often as it says, and write a report.
+  run        Play every variant of an experiment, as often as it says, and write a report.
+  schedules  Members and holders of duties in virtual time under drawn faults; a checker reads what they did.
 
 Options:
   --out FOLDER     Where the report goes [default: report].
@@ -13,11 +15,16 @@
   --repeats N      In place of the experiment's.
   --processes N    Of the player, on sockets [default: 1].
   --virtual        In virtual time and memory: as fast as the code runs, and one seed gives one result.
+  --members N      Of the replicated log [default: 3].
+  --holders N      That may hold duties [default: 5].
+  --count N        Schedules to play, from --seed (1) on [default: 200].
+  --change NAME    With this guard taken out, which the checker is to find; `list` names them.
   --json           Print the figures as JSON.
   -h --help        Show this.
 
 EXPERIMENT is a typed record (schema `lab`). Ctrl-C ends it; the report is then of what was played.
-Exit codes: 0 done, 1 could not be played, 2 wrong usage or record, 130 interrupted.
+Of a schedule that fails the seed and the fewest faults that still make it fail are printed.
+Exit codes: 0 done, 1 could not be played or a schedule failed, 2 wrong usage or record, 130 interrupted.
 """
 
 from __future__ import annotations
@@ -31,7 +38,7 @@
 import msgspec
 from rich.console import Console
 
-from latchspoke.console import tables
+from latchspoke.console import schedules, tables
 from latchspoke.console.usage import UsageError, read_usage, read_whole
 from latchspoke.lab import report, virtual_run
 from latchspoke.lab.experiment import Experiment, read_experiment, variants
@@ -46,6 +53,8 @@
     if args is None:
         return 2
     try:
+        if args["schedules"]:
+            return schedules.main(args)
         experiment = read_experiment(args["EXPERIMENT"])
         for name in ("--seed", "--repeats"):
             if args[name] is not None:
--- /dev/null
+++ b/latchspoke/console/schedules.py
@@ -0,0 +1,69 @@
+"""``latchspoke lab schedules``: drawn faults by the thousand, and the shortest schedule that fails."""
+
+from __future__ import annotations
+
+import statistics
+from concurrent.futures import ProcessPoolExecutor
+from typing import Any
+
+import msgspec
+from rich.console import Console
+
+from latchspoke.console.usage import UsageError, read_whole
+from latchspoke.lab.schedules import changes, check, faults
+from latchspoke.lab.schedules.check import Verdict
+from latchspoke.lab.schedules.world import Setup
+
+CHUNK = 8  # schedules that a process plays at a time
+
+
+def one(setup: Setup, change: str, seed: int) -> Verdict:
+    """In a process of its own: what the change makes raise is a finding as well."""
+    with changes.made(change):
+        try:
+            return check.explore(setup, seed)[0]
+        except AssertionError as e:
+            return Verdict(seed, (f"assertion: {e}",))
+
+
+def main(args: dict[str, Any]) -> int:
+    console = Console(highlight=False, soft_wrap=True)
+    change = args["--change"] or ""
+    if change == "list":
+        console.print("\n".join(sorted(changes.CHANGES)))
+        return 0
+    if change and change not in changes.CHANGES:
+        raise UsageError(f"--change: there is no {change}; `--change list` names them")
+    setup = Setup(read_whole(args, "--members", 1), read_whole(args, "--holders", 1))
+    first = read_whole(args, "--seed", 0) if args["--seed"] is not None else 1
+    seeds = range(first, first + read_whole(args, "--count", 1))
+    with ProcessPoolExecutor(read_whole(args, "--processes", 1)) as pool:
+        count = len(seeds)
+        verdicts = list(pool.map(one, [setup] * count, [change] * count, seeds, chunksize=CHUNK))
+    failed = [verdict for verdict in verdicts if verdict.wrong]
+    summary = {
+        "members": setup.members, "holders": setup.holders, "seeds": [first, seeds[-1]], "change": change,
+        "failed": [verdict.seed for verdict in failed],
+        "acts": sum(verdict.acts for verdict in verdicts),
+        "acts_refused_by_token": sum(verdict.refused for verdict in verdicts),
+        "elections": sum(verdict.elections for verdict in verdicts),
+        "longest_idle_after_mending_s": round(max(verdict.longest for verdict in verdicts), 3),
+        "median_idle_after_mending_s": round(statistics.median(v.longest for v in verdicts), 3),
+    }  # fmt: skip
+    if args["--json"]:
+        print(msgspec.json.encode(summary).decode())
+    else:
+        for name, value in summary.items():
+            console.print(f"{name}: {value}")
+    if not failed:
+        return 0
+    show(console, setup, change, failed[0])
+    return 1
+
+
+def show(console: Console, setup: Setup, change: str, verdict: Verdict) -> None:
+    """The fewest faults with which this seed still fails."""
+    console.print(f"seed {verdict.seed}: {verdict.wrong[0]}")
+    with changes.made(change):
+        for fault in check.shorten(setup, verdict.seed, faults.draw(setup, verdict.seed)):
+            console.print(f"  {fault}")
--- /dev/null
+++ b/latchspoke/duties/machine.py
@@ -0,0 +1,91 @@
+"""The duties as the log tells them: who was given what, with which token. Deterministic."""
+
+from __future__ import annotations
+
+import msgspec
+
+from latchspoke.duties.records import (
+    Command,
+    Define,
+    DutyState,
+    Grant,
+    Move,
+    Release,
+    Remove,
+    Rule,
+    Tenure,
+    Why,
+)
+
+NAME = "duties"
+PAST_KEPT = 20  # tenures of each duty, for its history
+
+
+class DutiesMachine:
+    """Commands in, new states out. A command that no longer fits changes nothing and says why."""
+
+    def __init__(self) -> None:
+        self.duties: dict[str, DutyState] = {}
+
+    def apply(self, index: int, body: bytes) -> str:
+        """'' where it was done, else why not."""
+        command: Command = msgspec.msgpack.decode(body, type=Command)
+        state = self.duties.get(command.duty)
+        if isinstance(command, Define):
+            self.duties[command.duty] = self.define(state or DutyState(command.rule), command.rule)
+            return ""
+        if state is None or (state.rule is None and not isinstance(command, Release)):
+            return f"there is no duty {command.duty}"
+        why, state = self.change(command, state)
+        if not why:
+            self.duties[command.duty] = state
+        return why
+
+    def change(self, command: Command, state: DutyState) -> tuple[str, DutyState]:
+        """What becomes of a duty that there is."""
+        match command:
+            case Remove():
+                return "", msgspec.structs.replace(state, rule=None)
+            case Move(_, to):
+                return "", msgspec.structs.replace(state, wanted=to)
+            case Release(duty, token, why):
+                if not state.held or token != state.token:
+                    return f"token {token} does not hold {duty}", state
+                return "", self.end(state, why)
+            case Grant():
+                return self.grant(command, state)
+        raise AssertionError(command)
+
+    @staticmethod
+    def define(state: DutyState, rule: Rule) -> DutyState:
+        """A shorter grant does not shorten what a holder was told before."""
+        tenure = state.tenure
+        if tenure is not None and state.held:
+            tenure = msgspec.structs.replace(tenure, longest=max(tenure.longest, rule.length))
+        return msgspec.structs.replace(state, rule=rule, tenure=tenure)
+
+    def grant(self, command: Grant, state: DutyState) -> tuple[str, DutyState]:
+        if state.token != command.after:
+            return f"the last token of {command.duty} is {state.token}, not {command.after}", state
+        if state.held and not command.ended:
+            return f"{command.duty} is held", state
+        rule, state = state.rule, self.end(state, Why.ENDED)
+        assert rule is not None  # else it was refused before
+        token = state.token + 1
+        tenure = Tenure(command.holder, token, rule.length)
+        return "", msgspec.structs.replace(state, token=token, tenure=tenure, wanted=None)
+
+    @staticmethod
+    def end(state: DutyState, why: Why) -> DutyState:
+        """Its tenure, if it has one that goes on, becomes one of the past."""
+        if state.tenure is None or not state.held:
+            return state
+        tenure = msgspec.structs.replace(state.tenure, why=why)
+        past = (*state.past, tenure)[-PAST_KEPT:]
+        return msgspec.structs.replace(state, tenure=tenure, past=past)
+
+    def dump(self) -> bytes:
+        return msgspec.msgpack.encode(self.duties)
+
+    def load(self, body: bytes) -> None:
+        self.duties = msgspec.msgpack.decode(body, type=dict[str, DutyState]) if body else {}
--- /dev/null
+++ b/latchspoke/duties/office.py
@@ -0,0 +1,180 @@
+"""A member with the duties on its log: beats, commands and questions in; answers out. Pure.
+
+The driver's part is the same on sockets and in virtual time: after each input, ``take`` until it gives
+nothing, each time store and sync, send the messages, then ``apply``; and hand on ``answers``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from latchspoke.consensus.machines import Machines
+from latchspoke.consensus.member import Member, NotLeaderError, Output
+from latchspoke.consensus.records import Entry, Snapshot
+from latchspoke.duties.desk import Desk
+from latchspoke.duties.machine import NAME, DutiesMachine
+from latchspoke.duties.records import Answer, Beat, Command, DutyState
+
+COMPACT_AFTER = 1000  # entries; then they become a snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Not done here; ``leader`` is who may be asked, or ''. Nothing is known of a command ``under_way``."""
+
+    leader: str
+    under_way: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """A command stands in the log at ``index``; ``why`` says why it changed nothing, or ''."""
+
+    index: int
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The duties as they were at some moment after the question, up to ``index``."""
+
+    index: int
+    duties: dict[str, DutyState]
+
+
+Reply = Answer | Refused | Done | Shown
+
+
+@dataclass(slots=True)
+class Question:
+    """A beat, or (None) a look at everything, that waits for a majority's word."""
+
+    asker: int
+    beat: Beat | None
+    received: float
+    index: int = -1  # what must be applied first, once confirmed
+
+
+class Office:
+    """See the module."""
+
+    def __init__(self, member: Member, drift: float) -> None:
+        self.member = member
+        self.duties = DutiesMachine()
+        self.machines = Machines({NAME: self.duties})
+        self.desk = Desk(self.duties, drift)
+        self.desk_term = -1
+        self.questions: dict[int, Question] = {}
+        self.proposed: dict[int, tuple[int, int | None, Command]] = {}  # index: term, who asked, what
+        self.answers: list[tuple[int, Reply]] = []
+        self.number = 0
+
+    # Inputs. ``asker`` names who gets the reply.
+
+    def beat(self, asker: int, beat: Beat, now: float) -> None:
+        self.ask(Question(asker, beat, now), now)
+        if self.leads:
+            for command in self.desk.heard(beat, now):
+                self.propose(None, command, now)
+
+    def show(self, asker: int, now: float) -> None:
+        self.ask(Question(asker, None, now), now)
+
+    def command(self, asker: int, command: Command, now: float) -> None:
+        try:
+            self.propose(asker, command, now)
+        except NotLeaderError as e:
+            self.answers.append((asker, Refused(e.leader)))
+
+    def tick(self, now: float) -> None:
+        self.member.tick(now)
+        if self.leads:
+            for command in self.desk.due(now):
+                self.propose(None, command, now)
+
+    # The driver's turn.
+
+    def take(self) -> Output | None:
+        """None where there is nothing to do."""
+        output = self.member.take()
+        empty = not (
+            output.to_store or output.messages or output.restore or output.committed or output.confirmed
+            or output.refused or output.notes
+        )  # fmt: skip
+        return None if empty else output
+
+    def apply(self, output: Output, now: float) -> None:
+        """What was stored and sent takes effect."""
+        if output.restore is not None:
+            self.machines.load(output.restore.index, output.restore.body)
+        for entry in output.committed:
+            self.carry_out(entry, now)
+        for ident, index in output.confirmed:
+            self.questions[ident].index = index
+        for ident in output.refused:
+            question = self.questions.pop(ident)
+            self.answers.append((question.asker, Refused(self.member.leader)))
+        self.take_office()
+        self.reply(now)
+
+    def compacted(self, after: int = COMPACT_AFTER) -> Snapshot | None:
+        """A snapshot to store in the place of the entries it covers, if it is time."""
+        applied = self.machines.applied
+        if self.machines.lacking or applied - self.member.log.snapshot.index < after:
+            return None
+        return self.member.compact(applied, self.machines.dump())
+
+    # Parts.
+
+    @property
+    def leads(self) -> bool:
+        """Whether this is the leader, and knows all that was ever committed."""
+        return self.member.settled and self.desk_term == self.member.term
+
+    def take_office(self) -> None:
+        """A leader's desk is its own from the election on, once it has applied all that came before."""
+        member = self.member
+        if member.settled and self.machines.applied >= member.elected_index:
+            if self.desk_term != member.term:
+                self.desk_term = member.term
+                self.desk.lead(member.elected_at)
+        else:
+            self.desk_term = -1
+
+    def ask(self, question: Question, now: float) -> None:
+        self.number += 1
+        try:
+            self.member.read(self.number, now)
+        except NotLeaderError as e:
+            self.answers.append((question.asker, Refused(e.leader)))
+            return
+        self.questions[self.number] = question
+
+    def propose(self, asker: int | None, command: Command, now: float) -> None:
+        entry = self.member.propose(Machines.command(NAME, msgspec.msgpack.encode(command)), now)
+        self.proposed[entry.index] = entry.term, asker, command
+
+    def carry_out(self, entry: Entry, now: float) -> None:
+        why = self.machines.apply(entry)
+        term, asker, command = self.proposed.pop(entry.index, (-1, None, None))
+        if command is None:
+            return
+        own = term == entry.term
+        if self.desk_term == self.member.term:
+            self.desk.applied(command, now)
+        if asker is not None:
+            self.answers.append((asker, Done(entry.index, why or "") if own else Refused(self.member.leader)))
+
+    def reply(self, now: float) -> None:
+        """Questions that a majority has confirmed, and whose entries are applied."""
+        for ident, question in list(self.questions.items()):
+            if not 0 <= question.index <= self.machines.applied:
+                continue
+            if question.beat is None:
+                del self.questions[ident]
+                self.answers.append((question.asker, Shown(question.index, dict(self.duties.duties))))
+            elif self.leads:
+                del self.questions[ident]
+                self.answers.append((question.asker, self.desk.answer(question.beat, question.received, now)))
--- /dev/null
+++ b/latchspoke/lab/schedules/world.py
@@ -0,0 +1,483 @@
+"""Virtual time: hosts that stall between any two steps, links that fail, disks that lose what is not synced.
+
+The members and holders are the real ones (``latchspoke.consensus``, ``latchspoke.duties``); here is only what
+drives them, in the order that their modules ask for. One seed gives one run. Everything that somebody did or
+saw goes into one record, by the true time, for the checker.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from latchspoke.consensus import records
+from latchspoke.consensus.member import Member, Output, Role, Timing
+from latchspoke.consensus.records import Entry, Members, Snapshot, Stored, Vow, name_of
+from latchspoke.duties.holder import Holder
+from latchspoke.duties.office import Done, Office, Refused, Reply, Shown
+from latchspoke.duties.records import Answer, Beat, Candidate, Command, Define, Rule
+
+TICK = 0.05  # s between looks at what is due by the time alone
+STEP = 0.002  # s; the longest ordinary time between two steps of a process
+STORE = 0.004  # s; the longest ordinary time to write and sync
+RETRY = 0.4  # s until a write that the disk refused is tried again
+ACT = 0.15  # s between two acts under a duty, on average
+SLOW_ACT = 0.01  # of the acts come late to what they touch, by up to two grants
+ASK = 0.7  # s until an operator's question is asked again elsewhere
+COMPACT_AFTER = 40  # entries
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """What a run is made of."""
+
+    members: int = 3
+    holders: int = 5
+    duties: int = 4
+    length: float = 4.0
+    drift: float = 0.02
+    delay: float = 0.004
+    timing: Timing = field(default_factory=lambda: Timing(0.1, 0.6))
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """A holder found itself entitled to act at this moment."""
+
+    at: float
+    duty: str
+    token: int
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """An operator's question or command, from asking to answer; ``index`` is where it stands in the log."""
+
+    since: float
+    at: float
+    what: str
+    index: int
+    body: bytes = b""
+
+
+@dataclass(slots=True)
+class Record:
+    """What everybody did and saw."""
+
+    checks: list[Check] = field(default_factory=list)
+    acts: list[Check] = field(default_factory=list)  # as what is acted on took them
+    refused: list[Check] = field(default_factory=list)  # acts that came with an older token
+    asked: list[Asked] = field(default_factory=list)
+    applied: dict[int, Entry] = field(default_factory=dict)
+    dumps: dict[int, bytes] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)
+    faults: list[str] = field(default_factory=list)  # what was found wrong on the way
+    elections: int = 0
+
+    def wrong(self, text: str) -> None:
+        if len(self.faults) < 20:
+            self.faults.append(text)
+
+
+class DiskFullError(Exception):
+    """Nothing more can be written."""
+
+
+class Disk:
+    """What is synced outlives a kill; what is only written does not."""
+
+    def __init__(self, identity: str, members: Members) -> None:
+        self.identity, self.boot = identity, 0
+        self.vow, self.snapshot = Vow(), Snapshot(members=members)
+        self.entries: tuple[Entry, ...] = ()
+        self.full = False
+        self.safe = self.state()
+
+    def state(self) -> tuple[Vow, Snapshot, tuple[Entry, ...], int]:
+        return self.vow, self.snapshot, self.entries, self.boot
+
+    def write(self, output: Output) -> None:
+        if self.full:
+            raise DiskFullError
+        self.vow = output.vow or self.vow
+        if output.snapshot is not None:
+            self.compact(output.snapshot)
+        if output.first:
+            kept = tuple(entry for entry in self.entries if entry.index < output.first)
+            self.entries = kept + output.entries
+
+    def compact(self, snapshot: Snapshot) -> None:
+        self.snapshot = snapshot
+        self.entries = tuple(entry for entry in self.entries if entry.index > snapshot.index)
+
+    def sync(self) -> None:
+        self.safe = self.state()
+
+    def lose(self) -> None:
+        self.vow, self.snapshot, self.entries, self.boot = self.safe
+
+    def start(self) -> Stored:
+        self.boot += 1
+        self.sync()
+        return Stored(self.identity, self.boot, self.vow, self.snapshot, self.entries)
+
+
+class Process:
+    """Anything that runs, stalls and dies. Its clock is its own."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        drift = world.setup.drift
+        self.rate, self.offset = 1 + world.draw.uniform(-drift, drift), world.draw.uniform(0, 1e6)
+        self.stepped = 0.0  # of the time of day, which nobody may go by
+        self.alive = self.paused = False
+        self.epoch = 0
+        self.held: list[Callable[[], None]] = []
+
+    def now(self) -> float:
+        return self.offset + self.rate * self.world.now
+
+    def later(self, wait: float, call: Callable[[], None]) -> None:
+        """The next step: not if the process has died meanwhile; if it is stopped, once it goes on."""
+        epoch = self.epoch
+        self.world.at(wait, lambda: self.go(epoch, call))
+
+    def go(self, epoch: int, call: Callable[[], None]) -> None:
+        if epoch != self.epoch or not self.alive:
+            return
+        if self.paused:
+            self.held.append(lambda: self.go(epoch, call))
+        else:
+            call()
+
+    def stop(self) -> None:
+        self.paused = True
+
+    def cont(self) -> None:
+        self.paused = False
+        held, self.held = self.held, []
+        for call in held:
+            call()
+
+    def kill(self) -> None:
+        self.alive = self.paused = False
+        self.epoch += 1
+        self.held.clear()
+
+    def start(self) -> None:
+        if not self.alive:
+            self.alive = True
+            self.boot()
+
+    def boot(self) -> None:
+        raise NotImplementedError
+
+
+class Host(Process):
+    """A member as a process: one input at a time, stored and synced before it speaks."""
+
+    office: Office
+
+    def __init__(self, world: World, name: str, members: Members, identity: str) -> None:
+        super().__init__(world, name)
+        self.disk = Disk(identity, members)
+        self.inbox: deque[Callable[[Office, float], None]] = deque()
+        self.busy = False
+        self.askers: dict[int, Callable[[Reply], None]] = {}
+        self.asker = 0
+
+    def boot(self) -> None:
+        stored = self.disk.start()
+        seed = self.world.draw.random()
+        member = Member(stored, self.world.setup.timing, random.Random(seed), self.now())
+        self.office = Office(member, self.world.setup.drift)
+        self.inbox.clear()
+        self.askers.clear()
+        self.busy = False
+        self.turn()
+        self.tick()
+
+    def kill(self) -> None:
+        super().kill()
+        self.disk.lose()
+
+    def wipe(self) -> None:
+        """An empty disk under the old name: another identity, which nobody counts on yet."""
+        self.world.numbers += 1
+        self.disk = Disk(self.world.identity(self.name), Members())
+
+    def tick(self) -> None:
+        self.give(lambda office, now: office.tick(now))
+        self.later(TICK, self.tick)
+
+    def give(self, call: Callable[[Office, float], None]) -> None:
+        self.inbox.append(call)
+        if not self.busy:
+            self.busy = True
+            self.later(self.world.draw.uniform(0, STEP), self.next)
+
+    def next(self) -> None:
+        if not self.inbox:
+            self.busy = False
+            return
+        self.inbox.popleft()(self.office, self.now())
+        self.turn()
+
+    def turn(self) -> None:
+        """Store and sync, then speak, then apply; then the next input."""
+        self.busy = True
+        output = self.office.take()
+        if output is None:
+            self.speak()
+            self.later(self.world.draw.uniform(0, STEP), self.next)
+            return
+        for note in output.notes:
+            self.world.record.elections += note.code == "leads"
+        if output.to_store:
+            self.later(self.world.draw.uniform(0, STORE), lambda: self.store(output))
+        else:
+            self.carry_out(output)
+
+    def store(self, output: Output) -> None:
+        try:
+            self.disk.write(output)
+        except DiskFullError:
+            # Nothing that relies on it is said; what comes meanwhile is lost, as any message may be.
+            self.inbox.clear()
+            self.later(RETRY, lambda: self.store(output))
+            return
+        self.later(self.world.draw.uniform(0, STORE), lambda: self.sync(output))
+
+    def sync(self, output: Output) -> None:
+        self.disk.sync()
+        self.carry_out(output)
+
+    def carry_out(self, output: Output) -> None:
+        for message in output.messages:
+            target = name_of(message.target)
+            hear = partial(self.world.hosts[target].hear, records.encode(message))
+            self.world.send(self.name, target, hear)
+        self.later(self.world.draw.uniform(0, STEP), lambda: self.apply(output))
+
+    def apply(self, output: Output) -> None:
+        self.office.apply(output, self.now())
+        self.world.saw(self, output)
+        snapshot = self.office.compacted(COMPACT_AFTER)
+        if snapshot is not None and not self.disk.full:
+            self.disk.compact(snapshot)
+            self.disk.sync()
+        self.turn()
+
+    def speak(self) -> None:
+        answers, self.office.answers = self.office.answers, []
+        for asker, reply in answers:
+            call = self.askers.pop(asker, None)
+            if call is not None:
+                call(reply)
+
+    def hear(self, data: bytes) -> None:
+        message = records.decode(data)
+        self.give(lambda office, now: office.member.receive(message, now))
+
+    def ask(self, put: Callable[[Office, int, float], None], reply: Callable[[Reply], None]) -> None:
+        """A question from outside; the reply comes as soon as there is one, or never."""
+        self.asker += 1
+        number = self.asker
+        self.askers[number] = reply
+        self.give(lambda office, now: put(office, number, now))
+
+    def beat(self, beat: Beat, back: Callable[[Answer], None], hops: int = 1) -> None:
+        """A holder's word; one that does not lead passes it on to the leader, and the answer back."""
+
+        def replied(reply: Reply) -> None:
+            if isinstance(reply, Answer):
+                back(reply)
+            elif isinstance(reply, Refused) and reply.leader and hops:
+                to = self.world.hosts.get(name_of(reply.leader))
+                if to is not None:
+                    self.world.send(self.name, to.name, lambda: to.beat(beat, passed(to), hops - 1))
+
+        def passed(to: Host) -> Callable[[Answer], None]:
+            return lambda answer: self.world.send(to.name, self.name, lambda: back(answer))
+
+        self.ask(lambda office, number, now: office.beat(number, beat, now), replied)
+
+
+class Actor(Process):
+    """A holder: it beats, acts on what it holds, and stops in time."""
+
+    holder: Holder
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        self.leaving = False
+
+    def boot(self) -> None:
+        self.world.numbers += 1
+        self.holder = Holder(Candidate(self.name, str(self.world.numbers)))
+        self.leaving = False
+        self.tick()
+        self.beat()
+
+    def tick(self) -> None:
+        for duty in self.holder.to_stop(self.now()):
+            self.later(self.world.draw.uniform(0, 0.1), partial(self.holder.stopped, duty))
+        self.later(TICK, self.tick)
+
+    def beat(self) -> None:
+        beat = self.holder.beat(self.now())
+        hosts = list(self.world.hosts.values())
+        host = hosts[(self.holder.place + self.world.names.index(self.name)) % len(hosts)]
+
+        def back(answer: Answer) -> None:
+            self.world.send(host.name, self.name, lambda: self.later(0, lambda: self.answered(answer)))
+
+        self.world.send(self.name, host.name, lambda: host.beat(beat, back))
+        wait = min(self.holder.beat_every, 1.0) * self.world.draw.uniform(0.7, 1.0)
+        self.later(wait, self.beat)
+
+    def answered(self, answer: Answer) -> None:
+        for duty in self.holder.answered(answer, self.now()):
+            self.later(self.world.draw.uniform(0, STEP), partial(self.act, duty))
+
+    def act(self, duty: str) -> None:
+        """The check and the act are two steps: anything may lie between them, and the token is for that."""
+        token = self.holder.token(duty, self.now())
+        if duty not in self.holder.rights:
+            return
+        if token is not None:
+            check = Check(self.world.now, duty, token, self.holder.who.identity)
+            self.world.record.checks.append(check)
+            slow = self.world.draw.random() < SLOW_ACT
+            wait = self.world.draw.uniform(0, 2 * self.world.setup.length if slow else STEP)
+            self.later(wait, lambda: self.world.touch(check))
+        self.later(self.world.draw.expovariate(1 / ACT), lambda: self.act(duty))
+
+
+class World:
+    """All of it."""
+
+    def __init__(self, setup: Setup, seed: int) -> None:
+        self.setup, self.seed, self.draw = setup, seed, random.Random(f"world:{seed}")
+        self.now, self.order = 0.0, 0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.record = Record()
+        self.cuts: set[tuple[str, str]] = set()  # one way each
+        self.loss, self.slow = 0.0, 1.0
+        self.touched: dict[str, int] = {}
+        self.numbers = 0
+        names = [f"m{n}" for n in range(setup.members)]
+        voters = Members(tuple(self.identity(name) for name in names))
+        self.hosts = {
+            name: Host(self, name, voters, identity)
+            for name, identity in zip(names, voters.voters, strict=True)
+        }
+        self.actors = {f"h{n}": Actor(self, f"h{n}") for n in range(setup.holders)}
+        self.names = [*self.hosts, *self.actors]
+        for process in (*self.hosts.values(), *self.actors.values()):
+            process.start()
+        for n in range(setup.duties):
+            self.operate(Define(f"duty{n}", Rule(setup.length)))
+
+    def identity(self, name: str) -> str:
+        return f"{name}#{self.draw.getrandbits(32):08x}"
+
+    def process(self, name: str) -> Process:
+        return self.hosts.get(name) or self.actors[name]
+
+    # Time and links.
+
+    def at(self, wait: float, call: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (self.now + wait, self.order, call))
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+        self.now = until
+
+    def send(self, one: str, other: str, call: Callable[[], None]) -> None:
+        """Late, now and then twice, lost while the way is cut or by chance; in no order."""
+        for _ in range(2 if self.draw.random() < 0.01 else 1):
+            if (one, other) not in self.cuts and self.draw.random() >= self.loss:
+                wait = self.draw.expovariate(1 / (self.setup.delay * self.slow))
+                self.at(wait, lambda: self.arrive(one, other, call))
+
+    def arrive(self, one: str, other: str, call: Callable[[], None]) -> None:
+        process = self.process(other)
+        if (one, other) in self.cuts or not process.alive:
+            return
+        process.go(process.epoch, call)
+
+    # Operators.
+
+    def operate(self, command: Command) -> None:
+        """Ask one member after the other until one says that it is done."""
+        since = self.now
+
+        def reply(answer: Reply) -> None:
+            if isinstance(answer, Done) and not done:
+                done.append(True)
+                self.record.asked.append(Asked(since, self.now, "command", answer.index))
+
+        done: list[bool] = []
+        self.insist(lambda office, number, now: office.command(number, command, now), reply, done, tries=60)
+
+    def look(self) -> None:
+        since = self.now
+        done: list[bool] = []
+
+        def reply(answer: Reply) -> None:
+            if isinstance(answer, Shown) and not done:
+                done.append(True)
+                self.record.asked.append(Asked(since, self.now, "look", answer.index))
+
+        self.insist(lambda office, number, now: office.show(number, now), reply, done, tries=3)
+
+    def insist(
+        self,
+        put: Callable[[Office, int, float], None],
+        reply: Callable[[Reply], None],
+        done: list[bool],
+        tries: int,
+    ) -> None:
+        if done or not tries:
+            return
+        leaders = [h for h in self.hosts.values() if h.alive and h.office.member.role is Role.LEADER]
+        host = self.draw.choice(leaders or list(self.hosts.values()))
+        if host.alive:
+            host.ask(put, reply)
+        self.at(ASK, lambda: self.insist(put, reply, done, tries - 1))
+
+    # What is seen.
+
+    def touch(self, check: Check) -> None:
+        """What is acted on: it refuses a token older than the newest it has seen."""
+        if check.token < self.touched.get(check.duty, 0):
+            self.record.refused.append(check)
+            return
+        self.touched[check.duty] = check.token
+        self.record.acts.append(check)
+
+    def saw(self, host: Host, output: Output) -> None:
+        """Compare what this host has applied with what any other has."""
+        record, member = self.record, host.office.member
+        for entry in output.committed:
+            other = record.applied.setdefault(entry.index, entry)
+            if other != entry:
+                record.wrong(f"{self.now:.3f} {host.name}: entry {entry.index} is not what another applied")
+        applied = host.office.machines.applied
+        if output.committed or output.restore is not None:
+            dump = host.office.machines.dump()
+            if record.dumps.setdefault(applied, dump) != dump:
+                record.wrong(f"{self.now:.3f} {host.name}: the state at {applied} is not another's")
+        if member.role is Role.LEADER:
+            leader = record.leaders.setdefault(member.term, member.identity)
+            if leader != member.identity:
+                record.wrong(f"{self.now:.3f} two leaders of term {member.term}: {leader}, {member.identity}")
