Let agents be members that keep duties on disk and on sockets, with duty run and members

Off unless an agent's file names members; `serve` loads nothing of it. Found with real processes and mended: a group whose founder lost the lead before all had joined took in nobody any more (who was taken out is in the log now); a copy one start old passed for a start cut short (the note is written last).

--- a/latchspoke/agent/api.py
+++ b/latchspoke/agent/api.py
@@ -23,8 +23,11 @@
 from aiohttp import web
 
 from latchspoke.agent.checks import fetch_view
+from latchspoke.agent.members import MemberDriver, MembersChange
 from latchspoke.agent.store import StoreError
 from latchspoke.agent.supervisor import RefusalError, Supervisor, claim_info
+from latchspoke.duties.office import Refused, Reply
+from latchspoke.duties.records import Beat, Define, Move, Remove
 from latchspoke.fleet import wire
 
 log = structlog.get_logger("agent.api")
@@ -73,8 +76,10 @@
 class Api:
     """The routes of one agent."""
 
-    def __init__(self, supervisor: Supervisor, identify: Identify) -> None:
-        self.supervisor, self.identify = supervisor, identify
+    def __init__(
+        self, supervisor: Supervisor, identify: Identify, members: MemberDriver | None = None
+    ) -> None:
+        self.supervisor, self.identify, self.members = supervisor, identify, members
         self.viewing = asyncio.Semaphore(VIEWS_AT_ONCE)
 
     def app(self) -> web.Application:
@@ -92,6 +97,11 @@
                 web.post("/v1/claims/renew", self.renew),
                 web.post("/v1/claims/release", self.release),
                 web.post("/v1/steps", self.step),
+                web.get("/v1/members", self.member),
+                web.post("/v1/members", self.change_members),
+                web.get("/v1/duties", self.duties),
+                web.post("/v1/duties/commands", self.command),
+                web.post("/v1/duties/beat", self.beat),
             ]
         )
         return app
@@ -131,6 +141,41 @@
     async def read(self, request: web.Request, kind: type[T]) -> T:
         return wire.decode(kind, await request.read())
 
+    def driver(self) -> MemberDriver:
+        if self.members is None:
+            raise RefusalError(404, "no-member", "this agent is no member")
+        return self.members
+
+    @staticmethod
+    def told(reply: Reply) -> web.Response:
+        """What a majority stands behind, or that nothing can be known here and now."""
+        if isinstance(reply, Refused):
+            code = "unknown" if reply.under_way else "no-leader"
+            text = "it may have been done, or may yet be" if reply.under_way else "no leader is heard here"
+            raise RefusalError(503, code, text)
+        return answer(reply)
+
+    async def member(self, request: web.Request) -> web.Response:
+        return answer(self.driver().status())
+
+    async def change_members(self, request: web.Request) -> web.Response:
+        asked = await self.read(request, MembersChange)
+        why = await self.driver().change(asked.add, asked.remove)
+        if why:
+            raise RefusalError(409, "not-changed", why)
+        return answer(self.driver().status())
+
+    async def duties(self, request: web.Request) -> web.Response:
+        return self.told(await self.driver().ask())
+
+    async def command(self, request: web.Request) -> web.Response:
+        command: Define | Remove | Move = wire.decode(Define | Remove | Move, await request.read())  # type: ignore[arg-type]
+        self.supervisor.record("duty", operator=request["caller"].name, detail=str(command))
+        return self.told(await self.driver().ask(command=command))
+
+    async def beat(self, request: web.Request) -> web.Response:
+        return self.told(await self.driver().ask(beat=await self.read(request, Beat)))
+
     async def instances(self, request: web.Request) -> web.Response:
         return answer(self.supervisor.listing())
 
--- a/latchspoke/agent/config.py
+++ b/latchspoke/agent/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import sys
 from pathlib import Path
 
@@ -61,6 +62,16 @@
     limit: Seconds
 
 
+class MembersRecord(msgspec.Struct, frozen=True):
+    """``peers``: the addresses of all members of the replicated log, this agent's as well."""
+
+    peers: dict[str, str]
+    first: bool
+    beat: Seconds
+    election: Seconds
+    drift: float
+
+
 class AgentRecord(msgspec.Struct, frozen=True):
     """The whole file."""
 
@@ -70,6 +81,7 @@
     checks: ChecksRecord
     instances: dict[str, InstanceRecord] = {}
     tls: TlsRecord | None = None
+    members: MembersRecord | None = None
 
     @property
     def home(self) -> Path:
@@ -115,8 +127,27 @@
     return told
 
 
+def check_members(told: MembersRecord, name: str, at: Position) -> None:
+    if name not in told.peers:
+        raise RecordError(
+            at, "members.peers", f"{name}, this agent, is not among them", "its own address too"
+        )
+    for peer, where in told.peers.items():
+        host = where.rpartition(":")[0].strip("[]")
+        try:
+            loopback = ipaddress.ip_address(host).is_loopback
+        except ValueError:
+            loopback = False
+        if not loopback:
+            raise RecordError(
+                at, f"members.peers.{peer}", where, "an address on loopback, as members have no TLS yet"
+            )
+
+
 def check(told: AgentRecord, at: Position) -> None:
     """What types alone don't say."""
+    if told.members is not None:
+        check_members(told.members, told.name, at)
     listens: dict[str, str] = {}
     for name, instance in told.instances.items():
         other = listens.setdefault(instance.listen, name)
--- /dev/null
+++ b/latchspoke/agent/ledger.py
@@ -0,0 +1,178 @@
+"""What a member of the replicated log may never forget: its own SQLite file, synced before anything is said.
+
+Beside the file stands a short note of the last start, written after it. A file that knows of fewer starts
+than the note is an older copy put back, and is refused; so is one with damage. Nothing is guessed.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sqlite3
+import zlib
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+
+from latchspoke.consensus.member import Output
+from latchspoke.consensus.records import Entry, Members, Snapshot, Stored, Vow
+
+LAYOUT = 1
+TABLES = """
+CREATE TABLE IF NOT EXISTS facts (name TEXT PRIMARY KEY, body BLOB NOT NULL, crc INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS entries (place INTEGER PRIMARY KEY, body BLOB NOT NULL, crc INTEGER NOT NULL);
+"""
+
+
+class LedgerError(Exception):
+    """The ledger can't be used, or not now; one line says why."""
+
+
+class Start(msgspec.Struct, frozen=True):
+    """Who this store belongs to, and how often it was started."""
+
+    identity: str
+    boot: int
+
+
+@contextlib.contextmanager
+def told(path: Path) -> Iterator[None]:
+    try:
+        yield
+    except (sqlite3.Error, OSError) as e:
+        raise LedgerError(f"{path} can't be used: {e}") from None
+    except msgspec.MsgspecError as e:
+        raise LedgerError(f"{path} holds what can't be read: {e}") from None
+
+
+class Ledger:
+    """One open file. Its calls may come from any thread, one at a time."""
+
+    def __init__(self, path: Path) -> None:
+        self.path, self.note = path, path.with_suffix(".start")
+        with told(path):
+            self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+            try:
+                self.prepare()
+            except BaseException:
+                self.db.close()
+                raise
+
+    def prepare(self) -> None:
+        self.db.execute("PRAGMA journal_mode = WAL")
+        self.db.execute("PRAGMA synchronous = FULL")
+        (layout,) = self.db.execute("PRAGMA user_version").fetchone()
+        if layout not in (0, LAYOUT):
+            raise LedgerError(f"{self.path}: its layout is {layout}, this program knows {LAYOUT}")
+        (sound,) = self.db.execute("PRAGMA quick_check(1)").fetchone()
+        if sound != "ok":
+            raise LedgerError(f"{self.path} is damaged: {sound}")
+        self.db.executescript(TABLES)
+        self.db.execute(f"PRAGMA user_version = {LAYOUT}")
+
+    def close(self) -> None:
+        self.db.close()
+
+    def start(self, name: str, draw: str, founder: bool) -> Stored:
+        """Count a start and give all there is; a new store gets its identity, a founder's votes alone.
+
+        Raises LedgerError.
+        """
+        with told(self.path):
+            body = self.fact("start")
+            old = msgspec.msgpack.decode(body, type=Start) if body else Start(f"{name}#{draw}", 0)
+            noted = msgspec.json.decode(self.note.read_bytes(), type=Start) if self.note.exists() else None
+            if noted is not None:
+                self.compare(old, noted)
+            new = Start(old.identity, old.boot + 1)
+            with self.transaction():
+                self.put("start", new)
+                if not old.boot and founder:
+                    self.put("snapshot", Snapshot(members=Members((new.identity,))))
+            self.write_note(new)
+            return self.read(new)
+
+    def compare(self, old: Start, noted: Start) -> None:
+        """The note is written after the file: behind by a start that was cut short, and never ahead."""
+        if old.identity != noted.identity or old.boot not in (noted.boot, noted.boot + 1):
+            raise LedgerError(
+                f"{self.path} is of start {old.boot} of {old.identity}, but {self.note.name} tells of start"
+                f" {noted.boot} of {noted.identity}: an older copy; take this member out and in as a new one"
+            )
+
+    def write_note(self, start: Start) -> None:
+        new = self.note.with_suffix(".new")
+        with open(new, "wb") as file:
+            file.write(msgspec.json.encode(start))
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(new, self.note)
+        folder = os.open(self.note.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def read(self, start: Start) -> Stored:
+        vow, snapshot = self.fact("vow"), self.fact("snapshot")
+        entries: list[Entry] = []
+        for place, body, crc in self.db.execute("SELECT place, body, crc FROM entries ORDER BY place"):
+            entry: Entry = msgspec.msgpack.decode(self.sound(body, crc, f"entry {place}"), type=Entry)
+            if entries and entry.index != entries[-1].index + 1:
+                raise LedgerError(f"{self.path}: entry {entries[-1].index + 1} is missing")
+            entries.append(entry)
+        found = msgspec.msgpack.decode(snapshot, type=Snapshot) if snapshot else Snapshot()
+        if entries and entries[0].index != found.index + 1:
+            raise LedgerError(f"{self.path}: entry {found.index + 1} is missing")
+        return Stored(
+            start.identity, start.boot, msgspec.msgpack.decode(vow, type=Vow) if vow else Vow(), found,
+            tuple(entries),
+        )  # fmt: skip
+
+    def save(self, output: Output) -> None:
+        """All of it is on the disk when this ends well, and none of it otherwise. Raises LedgerError."""
+        with told(self.path), self.transaction():
+            if output.vow is not None:
+                self.put("vow", output.vow)
+            if output.snapshot is not None:
+                self.replace(output.snapshot)
+            if output.first:
+                self.db.execute("DELETE FROM entries WHERE place >= ?", (output.first,))
+                rows = ((e.index, b := msgspec.msgpack.encode(e), zlib.crc32(b)) for e in output.entries)
+                self.db.executemany("INSERT INTO entries VALUES (?, ?, ?)", rows)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Raises LedgerError."""
+        with told(self.path), self.transaction():
+            self.replace(snapshot)
+
+    # Parts.
+
+    @contextlib.contextmanager
+    def transaction(self) -> Iterator[None]:
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            yield
+            self.db.execute("COMMIT")
+        except BaseException:
+            with contextlib.suppress(sqlite3.Error):
+                self.db.execute("ROLLBACK")
+            raise
+
+    def replace(self, snapshot: Snapshot) -> None:
+        self.put("snapshot", snapshot)
+        self.db.execute("DELETE FROM entries WHERE place <= ?", (snapshot.index,))
+
+    def put(self, name: str, value: Start | Vow | Snapshot) -> None:
+        body = msgspec.msgpack.encode(value)
+        self.db.execute("INSERT OR REPLACE INTO facts VALUES (?, ?, ?)", (name, body, zlib.crc32(body)))
+
+    def fact(self, name: str) -> bytes:
+        row = self.db.execute("SELECT body, crc FROM facts WHERE name = ?", (name,)).fetchone()
+        return self.sound(row[0], row[1], name) if row else b""
+
+    def sound(self, body: bytes, crc: int, what: str) -> bytes:
+        if zlib.crc32(body) != crc:
+            raise LedgerError(f"{self.path}: {what} is damaged")
+        return body
--- a/latchspoke/agent/serve.py
+++ b/latchspoke/agent/serve.py
@@ -17,6 +17,8 @@
 from latchspoke.agent.api import Api, by_socket
 from latchspoke.agent.checks import Checks
 from latchspoke.agent.config import AgentRecord, TlsRecord
+from latchspoke.agent.ledger import LedgerError
+from latchspoke.agent.members import MemberDriver
 from latchspoke.agent.store import Store, StoreError
 from latchspoke.agent.supervisor import Supervisor
 from latchspoke.agent.tls import TlsSite, by_certificate
@@ -78,7 +80,8 @@
     supervisor = Supervisor(config, store, why)
     await supervisor.start()
     checks = Checks(supervisor)
-    api = Api(supervisor, by_certificate(by_socket))
+    members = await open_member(config)
+    api = Api(supervisor, by_certificate(by_socket), members)
     runner = web.AppRunner(api.app(), access_log=None, shutdown_timeout=1.0)
     await runner.setup()
     site: TlsSite | None = None
@@ -96,11 +99,28 @@
         if site is not None:
             await site.stop()
         await runner.cleanup()
+        if members is not None:
+            await members.stop()
         await checks.stop()
         supervisor.stop()
         log.info("ends", agent=config.name)
 
 
+async def open_member(config: AgentRecord) -> MemberDriver | None:
+    """A ledger that can't be trusted ends the agent: its gateways go on, and a person has to look."""
+    if config.members is None:
+        return None
+    try:
+        members = MemberDriver(config.name, config.members, config.home)
+        await members.start()
+    except LedgerError as e:
+        raise AgentError(str(e)) from None
+    except OSError as e:
+        raise AgentError(f"can't listen at {config.members.peers[config.name]}: {e}") from None
+    log.info("member", agent=config.name, identity=members.office.member.identity)
+    return members
+
+
 def open_tls(record: TlsRecord, supervisor: Supervisor, runner: web.AppRunner) -> TlsSite:
     assert runner.server is not None  # it has been set up
     try:
--- a/latchspoke/cli.py
+++ b/latchspoke/cli.py
@@ -14,6 +14,8 @@
   agent         Run the agent that manages this machine's gateways.       (extra: fleet)
   fleet         List, inspect, start, drain, roll and compare instances.  (extra: fleet)
   records       Check, export and format settings files.                  (extra: fleet)
+  duty          Duties that one holder has at a time: list, move, run.    (extra: fleet)
+  members       The members of the replicated log: list, add, remove.     (extra: fleet)
   keys          The fleet's own authority and its certificates.           (extra: fleet)
   trace         Recorded traffic: import HAR files and logs, show, check. (extra: lab)
   replay        Play a trace against gateways, and say how true it was.   (extra: lab)
@@ -44,6 +46,8 @@
     "agent": "latchspoke.console.agent",
     "fleet": "latchspoke.console.fleet",
     "records": "latchspoke.console.records",
+    "duty": "latchspoke.console.duty",
+    "members": "latchspoke.console.members",
     "keys": "latchspoke.console.keys",
     "trace": "latchspoke.console.trace",
     "replay": "latchspoke.console.replay",
--- a/latchspoke/consensus/member.py
+++ b/latchspoke/consensus/member.py
@@ -570,7 +570,7 @@
         if self.log.members_index() <= self.commit:
             learners = tuple(n for n in members.learners if n != name)
             self.note("promoted", name)
-            self.change(Members((*members.voters, name), learners), now)
+            self.change(Members((*members.voters, name), learners, members.former), now)
 
     # Small parts.
 
--- a/latchspoke/consensus/records.py
+++ b/latchspoke/consensus/records.py
@@ -33,10 +33,14 @@
 
 
 class Members(msgspec.Struct, frozen=True):
-    """Those who vote, and those who only follow until they have caught up; by identity."""
+    """Those who vote, and those who only follow until they have caught up; by identity.
+
+    ``former`` are names that an operator has taken out: they come in again only by an operator's word.
+    """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
+    former: tuple[str, ...] = ()
 
     @property
     def all(self) -> tuple[str, ...]:
--- a/latchspoke/duties/desk.py
+++ b/latchspoke/duties/desk.py
@@ -98,8 +98,8 @@
                 end = received + self.wait(tenure.longest)
                 self.ends[duty] = max(end, self.end(duty, state))
             held.append(Held(duty, tenure.token, length, self.unwanted(duty, state, who, now)))
-        rules = [state.rule for state in self.machine.duties.values() if state.rule is not None]
-        length = min((rule.length for rule in rules if who.fits(rule)), default=LENGTH)
+        rules = [(duty, s.rule) for duty, s in self.machine.duties.items() if s.rule is not None]
+        length = min((rule.length for duty, rule in rules if who.fits(duty, rule)), default=LENGTH)
         return Answer(who.identity, beat.number, tuple(held), length)
 
     def followed(self, duty: str) -> bool:
@@ -109,13 +109,13 @@
     def unwanted(self, duty: str, state: DutyState, who: Candidate, now: float) -> bool:
         """Whether its holder is to hand it over."""
         rule = state.rule
-        if rule is None or not who.fits(rule):
+        if rule is None or not who.fits(duty, rule):
             return True
         if state.wanted is None or state.wanted == who.name:
             return False
         return any(
             seen.who.name == state.wanted if state.wanted else seen.who.identity != who.identity
-            for seen in self.fresh(state, now)
+            for seen in self.fresh(duty, state, now)
         )
 
     def due(self, now: float) -> list[Command]:
@@ -149,19 +149,19 @@
         if isinstance(command, Grant) and state is not None and state.held and state.tenure is not None:
             self.ends[command.duty] = now + self.wait(state.tenure.longest)
 
-    def fresh(self, state: DutyState, now: float) -> list[Seen]:
+    def fresh(self, duty: str, state: DutyState, now: float) -> list[Seen]:
         """Candidates that live and may hold it."""
         rule = state.rule
         if rule is None:
             return []
         return [
             seen for seen in self.seen.values()
-            if now - seen.at < FRESH_PART * rule.length and seen.who.fits(rule)
+            if now - seen.at < FRESH_PART * rule.length and seen.who.fits(duty, rule)
         ]  # fmt: skip
 
     def choose(self, duty: str, state: DutyState, now: float) -> Candidate | None:
         """Whom an operator wants; else who has fewest, those that were lost of late only if need be."""
-        candidates = [seen.who for seen in self.fresh(state, now)]
+        candidates = [seen.who for seen in self.fresh(duty, state, now)]
         last = state.tenure.holder if state.tenure is not None else ""
         loads = self.loads()
 
--- a/latchspoke/duties/records.py
+++ b/latchspoke/duties/records.py
@@ -24,14 +24,16 @@
     session: str
     zone: str = ""
     version: str = ""
+    duties: tuple[str, ...] = ("*",)  # patterns: what it is there for
 
     @property
     def identity(self) -> str:
         return f"{self.name}#{self.session}"
 
-    def fits(self, rule: Rule) -> bool:
+    def fits(self, duty: str, rule: Rule) -> bool:
         return (
-            any(fnmatchcase(self.name, pattern) for pattern in rule.names)
+            any(fnmatchcase(duty, pattern) for pattern in self.duties)
+            and any(fnmatchcase(self.name, pattern) for pattern in rule.names)
             and (not rule.zones or self.zone in rule.zones)
             and (not rule.versions or self.version in rule.versions)
         )
--- /dev/null
+++ b/latchspoke/lab/relay.py
@@ -0,0 +1,105 @@
+"""Stands on a connection between two processes and does what networks do: slow, silent, broken, one way only.
+
+One relay carries what one side dials to the other. It listens on loopback and is told what to do by whoever
+made it, in the same loop. A stream can't lose bytes and go on, so a loss is a hold or a break.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from enum import Enum
+
+CHUNK = 65_536
+
+
+class Mode(Enum):
+    """What becomes of bytes and of new connections."""
+
+    PASS = "pass"
+    HOLD = "hold"  # half-open: taken and kept, and nobody is told; passed on once it is mended
+    REFUSE = "refuse"  # standing connections are reset, new ones closed at once
+
+
+class Relay:
+    """From an address of its own to ``target``."""
+
+    def __init__(self, target: tuple[str, int] | str) -> None:
+        self.target = target
+        self.mode, self.delay = Mode.PASS, 0.0
+        self.cut_after = -1  # bytes towards the target; the next connection breaks in the middle of them
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.passed = 0
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> tuple[str, int]:
+        self.server = await asyncio.start_server(self.carry, host, port)
+        address: tuple[str, int] = self.server.sockets[0].getsockname()
+        return address
+
+    def set(self, mode: Mode, delay: float = 0.0) -> None:
+        self.mode, self.delay = mode, delay
+        self.changed.set()
+        self.changed = asyncio.Event()
+        if mode is Mode.REFUSE:
+            self.reset()
+
+    def reset(self) -> None:
+        """Break all that stands, without a word."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.reset()
+
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        far: asyncio.StreamWriter | None = None
+        self.writers.add(writer)
+        try:
+            if self.mode is Mode.REFUSE:
+                return
+            back, far = await self.dial()
+            self.writers.add(far)
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.pump(reader, far, self.count))
+                group.create_task(self.pump(back, writer, lambda size: size))
+        except* (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            for end in (writer, far):
+                if end is not None:
+                    self.writers.discard(end)
+                    with contextlib.suppress(OSError):
+                        end.transport.abort()
+
+    async def dial(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if isinstance(self.target, str):
+            return await asyncio.open_unix_connection(self.target)
+        return await asyncio.open_connection(*self.target)
+
+    def count(self, size: int) -> int:
+        """How many of these bytes go on."""
+        if self.cut_after < 0:
+            return size
+        left, self.cut_after = min(self.cut_after, size), -1
+        return left
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, allow: Callable[[int], int]
+    ) -> None:
+        while data := await reader.read(CHUNK):
+            if self.delay:
+                await asyncio.sleep(self.delay)
+            while self.mode is Mode.HOLD:
+                await self.changed.wait()
+            passing = allow(len(data))
+            writer.write(data[:passing])
+            await writer.drain()
+            self.passed += passing
+            if passing < len(data):
+                raise ConnectionResetError("cut in the middle")
+        raise ConnectionResetError("ended")
--- a/latchspoke/lab/schedules/changes.py
+++ b/latchspoke/lab/schedules/changes.py
@@ -85,10 +85,10 @@
     """The next one begins before the holder has said that it has stopped."""
     commands: list[Command] = []
     for duty, state in desk.machine.duties.items():
-        names = [seen.who.name for seen in desk.fresh(state, now)]
+        names = [seen.who.name for seen in desk.fresh(duty, state, now)]
         wanted = state.wanted in names and state.tenure is not None
         if wanted and state.held and duty not in desk.pending:
-            to = next(seen.who for seen in desk.fresh(state, now) if seen.who.name == state.wanted)
+            to = next(seen.who for seen in desk.fresh(duty, state, now) if seen.who.name == state.wanted)
             if state.tenure is not None and state.tenure.holder != to.identity:
                 commands.append(desk.propose(Grant(duty, to.identity, state.token, True)))
     return commands + DUE(desk, now)
--- a/latchspoke/records/schemas/agent.cue
+++ b/latchspoke/records/schemas/agent.cue
@@ -27,6 +27,15 @@
 		limit: time.Duration | *"1s"
 	}
 
+	// One of the members of the replicated log, by which duties have one holder at a time.
+	members?: {
+		peers: [=~"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"]: =~"^.+:[0-9]+$"
+		first: bool | *false // founds the group, alone at first, where its store is empty
+		beat: time.Duration | *"100ms"
+		election: time.Duration | *"1s" // a follower stands after so long to twice that
+		drift: number & >0 & <0.2 | *0.02 // how much faster or slower any clock may run
+	}
+
 	instances: [=~"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"]: #Instance
 }
 
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -49,7 +49,7 @@
         self.file = base / f"{name}.cue"
         self.instances: dict[str, str] = {}
         self.ports: dict[str, int] = {}
-        self.tls = ""
+        self.tls = self.members = ""
         self.process: subprocess.Popen[bytes] | None = None
 
     def puppet(self, name: str, mode: str = "good", more: str = QUICK, zone: str = "") -> None:
@@ -66,7 +66,7 @@
         inner = "\n".join(self.instances.values())
         self.file.write_text(
             f'name: "{self.name}"\nfolder: {json.dumps(str(self.folder))}\n'
-            f'checks: interval: "100ms"\ninstances: {{\n{inner}\n}}\n{self.tls}\n'
+            f'checks: interval: "100ms"\ninstances: {{\n{inner}\n}}\n{self.tls}\n{self.members}\n'
         )
 
     def start(self) -> None:
