--- a/latchspoke/agent/members.py
+++ b/latchspoke/agent/members.py
@@ -138,6 +138,8 @@
     async def ask(self, beat: Beat | None = None, command: Command | None = None) -> Reply:
         """Here, or of the leader by way of here. No reply in time is ``Refused``, and a command under way."""
         asked, none = AskFrame(0, beat, command), Refused("", under_way=command is not None)
+        if self.office.member.role is Role.HALTED:
+            return Refused("")
         loop = asyncio.get_running_loop()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LIMIT):
@@ -191,6 +193,23 @@
     # What is done.
 
     async def work(self) -> None:
+        """A fault of the program ends this member, for all to see: it must not go on half right."""
+        try:
+            await self.go_on()
+        except Exception as e:
+            self.disk = f"failed: {e!r}"
+            log.exception("member-failed", member=self.office.member.identity)
+            self.office.member.role = Role.HALTED
+            self.links.stop()
+            self.refuse()
+
+    def refuse(self) -> None:
+        """Nothing is known of what waits here."""
+        replies, self.replies = self.replies, {}
+        for back in replies.values():
+            back(Refused("", under_way=True))
+
+    async def go_on(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK):
@@ -232,6 +251,7 @@
                     log.error("disk", error=str(e))
                 self.disk = str(e)
                 self.inputs.clear()
+                self.refuse()
                 await asyncio.sleep(RETRY)
                 continue
             if self.disk:
--- a/latchspoke/lab/schedules/world.py
+++ b/latchspoke/lab/schedules/world.py
@@ -78,6 +78,9 @@
     leaders: dict[int, str] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)  # what was found wrong on the way
     elections: int = 0
+    messages: int = 0  # between members
+    bytes: int = 0
+    beats: int = 0
 
     def wrong(self, text: str) -> None:
         if len(self.faults) < 20:
@@ -260,7 +263,10 @@
     def carry_out(self, output: Output) -> None:
         for message in output.messages:
             target = name_of(message.target)
-            hear = partial(self.world.hosts[target].hear, records.encode(message))
+            data = records.encode(message)
+            self.world.record.messages += 1
+            self.world.record.bytes += len(data)
+            hear = partial(self.world.hosts[target].hear, data)
             self.world.send(self.name, target, hear)
         self.later(self.world.draw.uniform(0, STEP), lambda: self.apply(output))
 
@@ -331,6 +337,7 @@
 
     def beat(self) -> None:
         beat = self.holder.beat(self.now())
+        self.world.record.beats += 1
         hosts = list(self.world.hosts.values())
         host = hosts[(self.holder.place + self.world.names.index(self.name)) % len(hosts)]
 
--- a/tests/agent/test_members.py
+++ b/tests/agent/test_members.py
@@ -17,12 +17,16 @@
 
 import pytest
 
-from latchspoke.agent.config import read_agent
+from latchspoke.agent.config import MembersRecord, read_agent
 from latchspoke.agent.ledger import Ledger, LedgerError, Start
+from latchspoke.agent.members import MemberDriver
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import Entry, Kind, Members, Vow
+from latchspoke.duties.office import Done, Refused, Shown
+from latchspoke.duties.records import Define, Rule
 from latchspoke.lab.relay import Mode, Relay
 from latchspoke.records import RecordError
+from latchspoke.records.load import Seconds
 from tests.agent.world import ROOT, Host, free_port, until
 
 T = TypeVar("T")
@@ -339,3 +343,50 @@
     file.write_text(f'name: "a1"\nfolder: "{tmp_path}"\nmembers: {{peers: {{{peers}}}}}\n')
     with pytest.raises(RecordError, match=why):
         read_agent(str(file))
+
+
+async def alone(base: Path) -> MemberDriver:
+    record = MembersRecord({"a1": f"127.0.0.1:{free_port()}"}, True, Seconds(0.02), Seconds(0.1), 0.02)
+    driver = MemberDriver("a1", record, base)
+    await driver.start()
+    while not driver.office.leads:
+        await asyncio.sleep(0.01)
+    return driver
+
+
+def test_a_fault_of_the_program_ends_a_member_and_every_question(tmp_path: Path) -> None:
+    async def play() -> None:
+        driver = await alone(tmp_path)
+        assert isinstance(await driver.ask(command=Define("census", Rule())), Done)
+
+        def fault(now: float) -> None:
+            raise ZeroDivisionError
+
+        waiting = asyncio.ensure_future(driver.ask())
+        driver.give(fault)
+        assert isinstance(await waiting, Refused | Shown)
+        while driver.status().role != "halted":
+            await asyncio.sleep(0.01)
+        assert "ZeroDivisionError" in driver.status().disk
+        assert await driver.ask() == Refused("")
+        await driver.stop()
+
+    asyncio.run(play())
+
+
+def test_a_member_whose_disk_is_full_says_nothing_and_is_back_by_itself(tmp_path: Path) -> None:
+    async def play() -> None:
+        driver = await alone(tmp_path)
+        (pages,) = driver.ledger.db.execute("PRAGMA page_count").fetchone()
+        driver.ledger.db.execute(f"PRAGMA max_page_count = {pages}")
+        large = Define("census", Rule(names=("x" * 200_000,)))
+        assert await driver.ask(command=large) == Refused("", under_way=True)
+        assert "full" in driver.status().disk
+        driver.ledger.db.execute("PRAGMA max_page_count = 100000")
+        while driver.status().disk:
+            await asyncio.sleep(0.01)
+        shown = await driver.ask()
+        assert isinstance(shown, Shown) and "census" in shown.duties, "it stood in the log, and is done now"
+        await driver.stop()
+
+    asyncio.run(play())
