--- a/latchspoke/agent/links.py
+++ b/latchspoke/agent/links.py
@@ -84,15 +84,25 @@
         while True:
             with contextlib.suppress(OSError, TimeoutError):
                 async with asyncio.timeout(DIAL):
-                    _, writer = await asyncio.open_connection(*self.where)
+                    reader, writer = await asyncio.open_connection(*self.where)
                 pause = AGAIN[0]
                 try:
-                    await self.write(writer)
+                    await self.carry(reader, writer)
                 finally:
                     writer.close()
             await asyncio.sleep(pause)
             pause = min(pause * 2, AGAIN[1])
 
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Until it breaks; noticed also with nothing to say, or the other never hears a greeting again."""
+        tasks = [asyncio.ensure_future(self.write(writer)), asyncio.ensure_future(reader.read(1))]
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     async def write(self, writer: asyncio.StreamWriter) -> None:
         put(writer, self.greet)
         while True:
--- a/latchspoke/console/duty.py
+++ b/latchspoke/console/duty.py
@@ -28,7 +28,7 @@
   --zones ZONES      In which zones; any unless given.
   --as NAME          Under this name, in place of the host's and the process's number.
   --zone ZONE        Of this process.
-  --grace DURATION   What COMMAND may need to end after SIGTERM [default: 2s].
+  --grace DURATION   What COMMAND may need to end after SIGTERM, half a grant at most [default: 2s].
   --json             Print JSON.
   -h --help          Show this.
 
@@ -42,6 +42,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import secrets
 import signal
@@ -63,6 +64,7 @@
 
 LIMIT = 5.0  # s for one question
 LOOK = 0.02  # s between looks at what is to be stopped
+NOT_RUN = 127  # the shell's code for a command that can't be run
 KILL_PART = 0.7  # of the time from SIGTERM to the end of the grant; then SIGKILL
 
 
@@ -163,6 +165,15 @@
             await asyncio.sleep(LOOK)
 
 
+LIBC = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent() -> None:
+    """In the child: who started it can no longer end it in time once that is killed itself."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Work:
     """An operator's command under a duty: its whole group ends before the duty does."""
 
@@ -188,12 +199,21 @@
         elif right is not None and self.duty in holder.to_stop(now):
             holder.stopped(self.duty)
         elif right is not None and (token := holding.token(self.duty)) is not None:
-            more = {"LATCHSPOKE_DUTY": self.duty, "LATCHSPOKE_TOKEN": str(token)}
             self.kill_at, self.until = 0.0, right.until
+            return await self.begin(holding, token)
+        return None
+
+    async def begin(self, holding: Holding, token: int) -> int | None:
+        more = {"LATCHSPOKE_DUTY": self.duty, "LATCHSPOKE_TOKEN": str(token)}
+        try:
             self.process = await asyncio.create_subprocess_exec(
-                *self.command, env=os.environ | more, start_new_session=True
+                *self.command, env=os.environ | more, start_new_session=True, preexec_fn=end_with_parent
             )
-            self.group = self.process.pid
+        except OSError as e:
+            print(f"latchspoke duty: can't run {self.command[0]}: {e.strerror}", file=sys.stderr)
+            holding.holder.stopped(self.duty)
+            return NOT_RUN
+        self.group = self.process.pid
         return None
 
     def ended(self, holding: Holding) -> int | None:
--- a/latchspoke/console/lab.py
+++ b/latchspoke/console/lab.py
@@ -19,6 +19,7 @@
   --holders N      That may hold duties [default: 5].
   --count N        Schedules to play, from --seed (1) on [default: 200].
   --change NAME    With this guard taken out, which the checker is to find; `list` names them.
+  --real           With real processes in the place of virtual time; their folders stay under --out.
   --json           Print the figures as JSON.
   -h --help        Show this.
 
--- a/latchspoke/console/schedules.py
+++ b/latchspoke/console/schedules.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import statistics
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -12,6 +14,7 @@
 from latchspoke.console.usage import UsageError, read_whole
 from latchspoke.lab.schedules import changes, check, faults
 from latchspoke.lab.schedules.check import Verdict
+from latchspoke.lab.schedules.real import draw, trial
 from latchspoke.lab.schedules.world import Setup
 
 CHUNK = 8  # schedules that a process plays at a time
@@ -26,9 +29,18 @@
             return Verdict(seed, (f"assertion: {e}",))
 
 
+def real(out: str, setup: Setup, seed: int) -> Verdict:
+    """A group of processes, in a folder of its own."""
+    folder = Path(out).resolve() / f"seed-{seed}"
+    folder.mkdir(parents=True)
+    return asyncio.run(trial(folder, seed, setup.members, setup.holders))
+
+
 def main(args: dict[str, Any]) -> int:
     console = Console(highlight=False, soft_wrap=True)
     change = args["--change"] or ""
+    if change and args["--real"]:
+        raise UsageError("--change is for virtual time")
     if change == "list":
         console.print("\n".join(sorted(changes.CHANGES)))
         return 0
@@ -39,7 +51,10 @@
     seeds = range(first, first + read_whole(args, "--count", 1))
     with ProcessPoolExecutor(read_whole(args, "--processes", 1)) as pool:
         count = len(seeds)
-        verdicts = list(pool.map(one, [setup] * count, [change] * count, seeds, chunksize=CHUNK))
+        if args["--real"]:
+            verdicts = list(pool.map(real, [args["--out"]] * count, [setup] * count, seeds))
+        else:
+            verdicts = list(pool.map(one, [setup] * count, [change] * count, seeds, chunksize=CHUNK))
     failed = [verdict for verdict in verdicts if verdict.wrong]
     summary = {
         "members": setup.members, "holders": setup.holders, "seeds": [first, seeds[-1]], "change": change,
@@ -57,6 +72,12 @@
             console.print(f"{name}: {value}")
     if not failed:
         return 0
+    if args["--real"]:
+        for verdict in failed:
+            console.print(f"seed {verdict.seed}: {verdict.wrong[0]}")
+            for fault in draw(verdict.seed, setup.members, setup.holders):
+                console.print(f"  {fault}")
+        return 1
     show(console, setup, change, failed[0])
     return 1
 
--- a/latchspoke/duties/holder.py
+++ b/latchspoke/duties/holder.py
@@ -11,6 +11,7 @@
 from latchspoke.duties.records import Answer, Beat, Candidate, Held
 
 PART = 0.2  # of a grant: its holder stops so long before its end
+STOP_MOST = 0.5  # of a grant: no more of it is kept for stopping
 ASK_PART = 0.25  # of a grant between two beats
 SENT_MOST = 64  # beats whose answer may still come
 
@@ -30,7 +31,7 @@
     """All duties of one run of a process."""
 
     def __init__(self, who: Candidate, stop: float = 0.0) -> None:
-        """``stop``: s that its work may need to stop; it is begun that much earlier."""
+        """``stop``: s that its work may need to stop; that is begun so much earlier, half a grant at most."""
         self.who, self.stop = who, stop
         self.rights: dict[str, Right] = {}
         self.given_up: dict[str, int] = {}  # the last token of each duty whose work has stopped here
@@ -71,7 +72,8 @@
         if held.token <= self.given_up.get(held.duty, 0):
             return False
         until = sent + held.length
-        stop_at = until - max(PART * held.length, self.stop)
+        # One that wants nearly all of a grant to stop in would never begin.
+        stop_at = until - max(PART * held.length, min(self.stop, STOP_MOST * held.length))
         right = self.rights.get(held.duty)
         if right is not None and right.token < held.token:
             # It was lost and won again unseen; what goes on under the old token is stopped first.
--- a/tests/agent/act.py
+++ b/latchspoke/lab/schedules/act.py
@@ -1,4 +1,4 @@
-"""What an operator runs under a duty, for tests: it notes each act, unless a newer token has acted."""
+"""What runs under a duty in trials: it notes each act with its token, unless a newer one has acted."""
 
 import fcntl
 import os
--- a/tests/agent/test_members.py
+++ b/tests/agent/test_members.py
@@ -19,18 +19,20 @@
 
 from latchspoke.agent.config import MembersRecord, read_agent
 from latchspoke.agent.ledger import Ledger, LedgerError, Start
+from latchspoke.agent.links import Frame, Greet, Links
 from latchspoke.agent.members import MemberDriver
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import Entry, Kind, Members, Vow
 from latchspoke.duties.office import Done, Refused, Shown
 from latchspoke.duties.records import Define, Rule
 from latchspoke.lab.relay import Mode, Relay
+from latchspoke.lab.schedules.real import draw, trial
 from latchspoke.records import RecordError
 from latchspoke.records.load import Seconds
 from tests.agent.world import ROOT, Host, free_port, until
 
 T = TypeVar("T")
-ACT = [sys.executable, "-S", str(Path(__file__).with_name("act.py"))]
+ACT = [sys.executable, "-S", str(ROOT / "latchspoke/lab/schedules/act.py")]
 LENGTH = 2.0  # s of a grant
 
 
@@ -236,6 +238,19 @@
     assert "released" in told and "holds it" in told
 
 
+def test_a_command_that_ends_or_can_not_be_run_gives_the_duty_back(group: Group) -> None:
+    words = ["duty", "run", "census", "--as", "h1"]
+    sockets = ["--socket", str(group.hosts["a1"].socket)]
+    for command, code in ((["sh", "-c", "exit 3"], 3), (["/nothing/here"], 127)):
+        done = subprocess.run(
+            [sys.executable, "-m", "latchspoke", *words, *sockets, "--", *command],
+            cwd=ROOT, capture_output=True, text=True, timeout=30, check=False,
+        )  # fmt: skip
+        assert done.returncode == code, done.stderr
+        until(lambda: "holds it" not in group.tool("duty", "history", "census").stdout, "it is given back")
+    assert "can't run /nothing/here" in done.stderr
+
+
 def test_all_members_killed_at_once_forget_nothing(group: Group) -> None:
     group.run("h1")
     until(lambda: group.token() == 1, "the first acts")
@@ -345,6 +360,33 @@
         read_agent(str(file))
 
 
+def test_a_member_that_says_nothing_notices_a_break_and_greets_again() -> None:
+    """Found by drawn schedules: the founder was not there yet, and never heard of the others again."""
+
+    async def play() -> None:
+        heard: asyncio.Queue[Frame] = asyncio.Queue()
+        port = free_port()
+        broken = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", port)
+        peers = {"a1": f"127.0.0.1:{port}", "a2": f"127.0.0.1:{free_port()}"}
+        silent = Links(Greet("a2", "a2#1"), peers, lambda name, frame: None)
+        await asyncio.sleep(0.05)
+        broken.close()
+        there = Links(Greet("a1", "a1#1"), peers, lambda name, frame: heard.put_nowait(frame))
+        await there.listen(peers["a1"])
+        assert await asyncio.wait_for(heard.get(), 10) == Greet("a2", "a2#1")
+        silent.stop()
+        there.stop()
+
+    asyncio.run(play())
+
+
+def test_a_drawn_schedule_with_real_processes(tmp_path: Path) -> None:
+    """`latchspoke lab schedules --real` plays as many as are wanted; CI plays one."""
+    verdict = asyncio.run(trial(tmp_path, 3))
+    assert not verdict.wrong, (verdict, [str(fault) for fault in draw(3, 3, 2)])
+    assert verdict.acts > 50
+
+
 async def alone(base: Path) -> MemberDriver:
     record = MembersRecord({"a1": f"127.0.0.1:{free_port()}"}, True, Seconds(0.02), Seconds(0.1), 0.02)
     driver = MemberDriver("a1", record, base)
--- a/tests/duties/test_duties.py
+++ b/tests/duties/test_duties.py
@@ -47,6 +47,13 @@
     assert holder.token("census", 110.0) is None
 
 
+def test_whoever_wants_all_of_a_grant_to_stop_in_gets_half_of_it() -> None:
+    holder = Holder(Candidate("g1", "a"), stop=2.0)
+    beat = holder.beat(100.0)
+    assert holder.answered(answer(holder, beat, Held("census", 4, 2.0)), 100.1) == ["census"]
+    assert holder.to_stop(100.9) == [] and holder.to_stop(101.0) == ["census"]
+
+
 def test_an_answer_that_came_too_late_gives_nothing_and_is_given_back(holder: Holder) -> None:
     beat = holder.beat(100.0)
     assert holder.answered(answer(holder, beat, Held("census", 4, 10.0)), 109.0) == []
