--- a/latchspoke/agent/api.py
+++ b/latchspoke/agent/api.py
@@ -26,8 +26,10 @@
 from latchspoke.agent.members import MemberDriver, MembersChange
 from latchspoke.agent.store import StoreError
 from latchspoke.agent.supervisor import RefusalError, Supervisor, claim_info
-from latchspoke.duties.office import Refused, Reply
-from latchspoke.duties.records import Beat, Define, Move, Remove
+from latchspoke.duties import findings
+from latchspoke.duties.machine import NAME as DUTIES
+from latchspoke.duties.office import Look, Refused, Reply, Shown, put_duty, read_duties
+from latchspoke.duties.records import Beat, Define, DutyState, Move, Remove
 from latchspoke.fleet import wire
 
 log = structlog.get_logger("agent.api")
@@ -57,6 +59,13 @@
     return Caller(name, "operator" if uid in (0, os.geteuid()) else "")
 
 
+class DutiesShown(msgspec.Struct, frozen=True):
+    """The duties as they were at some moment after the question, with all up to ``index``."""
+
+    index: int
+    duties: dict[str, DutyState]
+
+
 Identify = Callable[[web.Request], Caller]
 
 
@@ -102,6 +111,7 @@
                 web.get("/v1/duties", self.duties),
                 web.post("/v1/duties/commands", self.command),
                 web.post("/v1/duties/beat", self.beat),
+                web.get("/v1/findings", self.findings),
             ]
         )
         return app
@@ -147,13 +157,18 @@
         return self.members
 
     @staticmethod
-    def told(reply: Reply) -> web.Response:
-        """What a majority stands behind, or that nothing can be known here and now."""
+    def known(reply: Reply) -> Reply:
+        """What a majority stands behind; raises that nothing can be known here and now."""
         if isinstance(reply, Refused):
             code = "unknown" if reply.under_way else "no-leader"
             text = "it may have been done, or may yet be" if reply.under_way else "no leader is heard here"
             raise RefusalError(503, code, text)
-        return answer(reply)
+        return reply
+
+    async def look(self, look: Look) -> Shown:
+        shown = self.known(await self.driver().ask(look=look))
+        assert isinstance(shown, Shown)
+        return shown
 
     async def member(self, request: web.Request) -> web.Response:
         return answer(self.driver().status())
@@ -166,15 +181,22 @@
         return answer(self.driver().status())
 
     async def duties(self, request: web.Request) -> web.Response:
-        return self.told(await self.driver().ask())
+        shown = await self.look(Look(DUTIES))
+        return answer(DutiesShown(shown.index, read_duties(shown)))
+
+    async def findings(self, request: web.Request) -> web.Response:
+        shown = await self.look(Look(findings.NAME))
+        return answer(msgspec.msgpack.decode(shown.body, type=findings.Findings))
 
     async def command(self, request: web.Request) -> web.Response:
+        """``?ident=`` is drawn by who asks: asked again under it, nothing is done twice."""
         command: Define | Remove | Move = wire.decode(Define | Remove | Move, await request.read())  # type: ignore[arg-type]
         self.supervisor.record("duty", operator=request["caller"].name, detail=str(command))
-        return self.told(await self.driver().ask(command=command))
+        put = put_duty(command, request.query.get("ident", ""))
+        return answer(self.known(await self.driver().ask(put=put)))
 
     async def beat(self, request: web.Request) -> web.Response:
-        return self.told(await self.driver().ask(beat=await self.read(request, Beat)))
+        return answer(self.known(await self.driver().ask(beat=await self.read(request, Beat))))
 
     async def instances(self, request: web.Request) -> web.Response:
         return answer(self.supervisor.listing())
--- a/latchspoke/console/client.py
+++ b/latchspoke/agent/client.py
@@ -179,9 +179,11 @@
         body = wire.CloseOperation(state, detail)
         return await self.call(wire.OperationStatus, "POST", f"/v1/operations/{ident}/close", body)
 
-    async def claim(self, names: list[str], operation: str, ttl: float) -> dict[str, int]:
+    async def claim(
+        self, names: list[str], operation: str, ttl: float, fence: dict[str, int] | None = None
+    ) -> dict[str, int]:
         """The tokens by instance."""
-        body = wire.ClaimRequest(names, operation, ttl)
+        body = wire.ClaimRequest(names, operation, ttl, fence or {})
         told = await self.call(wire.Claimed, "POST", "/v1/claims", body)
         return {claim.instance: claim.token for claim in told.claims}
 
--- a/latchspoke/agent/config.py
+++ b/latchspoke/agent/config.py
@@ -62,6 +62,17 @@
     limit: Seconds
 
 
+class DutiesRecord(msgspec.Struct, frozen=True):
+    """The program's own duties, for which this agent stands; ``fleet`` names the file of the whole fleet."""
+
+    fleet: str
+    resume: bool
+    census: bool
+    length: Seconds
+    every: Seconds
+    quiet: Seconds
+
+
 class MembersRecord(msgspec.Struct, frozen=True):
     """``peers``: the addresses of all members of the replicated log, this agent's as well."""
 
@@ -70,6 +81,8 @@
     beat: Seconds
     election: Seconds
     drift: float
+    tls: bool = False
+    duties: DutiesRecord | None = None
 
 
 class AgentRecord(msgspec.Struct, frozen=True):
@@ -120,14 +133,26 @@
         name: msgspec.structs.replace(instance, config=whole(instance.config))
         for name, instance in told.instances.items()
     }
+    members = told.members
+    if members is not None and members.duties is not None:
+        duties = msgspec.structs.replace(members.duties, fleet=whole(members.duties.fleet))
+        members = msgspec.structs.replace(members, duties=duties)
     told = msgspec.structs.replace(
-        told, folder=whole(told.folder), socket=whole(told.socket), tls=tls, instances=instances
+        told,
+        folder=whole(told.folder),
+        socket=whole(told.socket),
+        tls=tls,
+        instances=instances,
+        members=members,
     )
     check(told, Position(path, 1, 1))
     return told
 
 
-def check_members(told: MembersRecord, name: str, at: Position) -> None:
+def check_members(told: MembersRecord, name: str, secure: bool, at: Position) -> None:
+    """``secure``: the agent has a certificate. Without TLS members speak on loopback only."""
+    if told.tls and not secure:
+        raise RecordError(at, "members.tls", "without the agent's own `tls`", "its certificate there")
     if name not in told.peers:
         raise RecordError(
             at, "members.peers", f"{name}, this agent, is not among them", "its own address too"
@@ -138,16 +163,14 @@
             loopback = ipaddress.ip_address(host).is_loopback
         except ValueError:
             loopback = False
-        if not loopback:
-            raise RecordError(
-                at, f"members.peers.{peer}", where, "an address on loopback, as members have no TLS yet"
-            )
+        if not loopback and not told.tls:
+            raise RecordError(at, f"members.peers.{peer}", where, "`tls: true`, or an address on loopback")
 
 
 def check(told: AgentRecord, at: Position) -> None:
     """What types alone don't say."""
     if told.members is not None:
-        check_members(told.members, told.name, at)
+        check_members(told.members, told.name, told.tls is not None, at)
     listens: dict[str, str] = {}
     for name, instance in told.instances.items():
         other = listens.setdefault(instance.listen, name)
--- a/latchspoke/console/holding.py
+++ b/latchspoke/agent/holding.py
@@ -1,25 +1,26 @@
-"""A holder of duties over the agents' sockets: it beats; its caller asks for the token before each act."""
+"""A holder of duties as part of a process: it beats; its caller asks for the token before each act."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
+from latchspoke.agent.client import AgentClient, AgentEntry, RefusedError, UnheardError
 from latchspoke.agent.members import clock
-from latchspoke.console.client import AgentClient, AgentEntry, RefusedError, UnheardError
 from latchspoke.duties.holder import Holder
 from latchspoke.duties.records import Answer, Beat, Candidate
 
 LIMIT = 1.5  # s for one beat; the next member is asked after it
 
+Ask = Callable[[Beat, int], Awaitable[Answer | None]]  # the beat, and the place of whom to ask
+
 
 class Holding:
     """Use ``async with``. Beats go on from a task of their own; nobody waits for them."""
 
-    def __init__(self, who: Candidate, sockets: Iterable[str], stop: float = 0.0) -> None:
-        self.holder = Holder(who, stop)
-        self.clients = [AgentClient(path, AgentEntry(path), LIMIT, None) for path in sockets]
+    def __init__(self, who: Candidate, ask: Ask, stop: float = 0.0) -> None:
+        self.holder, self.ask = Holder(who, stop), ask
         self.task: asyncio.Task[None] | None = None
         self.heard_at = 0.0
 
@@ -32,7 +33,6 @@
             self.task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.task
-        await asyncio.gather(*(client.close() for client in self.clients))
 
     def token(self, duty: str) -> int | None:
         """For an act that begins now."""
@@ -47,10 +47,8 @@
     async def beat(self) -> bool:
         """Whether it was answered."""
         beat: Beat = self.holder.beat(clock())
-        client = self.clients[self.holder.place % len(self.clients)]
-        try:
-            answer = await client.call(Answer, "POST", "/v1/duties/beat", beat)
-        except (UnheardError, RefusedError):
+        answer = await self.ask(beat, self.holder.place)
+        if answer is None:
             return False
         self.heard_at = clock()
         self.holder.answered(answer, self.heard_at)
@@ -63,3 +61,21 @@
                 return
             await self.beat()
             await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def over_sockets(who: Candidate, sockets: Iterable[str], stop: float = 0.0) -> AsyncIterator[Holding]:
+    """A holder that asks whichever of these agents answers."""
+    clients = [AgentClient(path, AgentEntry(path), LIMIT, None) for path in sockets]
+
+    async def ask(beat: Beat, place: int) -> Answer | None:
+        try:
+            return await clients[place % len(clients)].call(Answer, "POST", "/v1/duties/beat", beat)
+        except (UnheardError, RefusedError):
+            return None
+
+    try:
+        async with Holding(who, ask, stop) as holding:
+            yield holding
+    finally:
+        await asyncio.gather(*(client.close() for client in clients))
--- a/latchspoke/agent/links.py
+++ b/latchspoke/agent/links.py
@@ -1,21 +1,26 @@
 """Connections between members: frames one way on each, made again when they break. Any frame may be lost.
 
-Only on loopback so far: there is no TLS on these connections yet, so the settings refuse another address.
+With TLS on both sides wherever addresses leave this machine: a frame counts as its sender's only by the
+certificate that the fleet's authority gave that agent.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import ssl
 from collections import deque
 from collections.abc import Callable
 
 import msgspec
 import structlog
 
+from latchspoke.agent.config import TlsRecord
 from latchspoke.consensus import records
-from latchspoke.duties.office import Done, Refused, Shown
-from latchspoke.duties.records import Answer, Beat, Command
+from latchspoke.duties.office import Done, Look, Put, Refused, Shown
+from latchspoke.duties.records import Answer, Beat
+from latchspoke.keys.authority import KeysError
+from latchspoke.keys.tls import Identity, peer
+from latchspoke.revisions.records import RulesAnswer, RulesQuestion
 
 log = structlog.get_logger("agent.links")
 
@@ -23,6 +28,7 @@
 WAITING_MOST = 2000  # frames for one that takes none; older ones go first
 AGAIN = (0.05, 1.0)  # s between tries to connect: at first, and at most
 DIAL = 1.0  # s
+FOLLOW = 1.0  # s between looks at the certificate's files
 
 
 class Greet(msgspec.Struct, frozen=True, tag="greet"):
@@ -39,11 +45,13 @@
 
 
 class AskFrame(msgspec.Struct, frozen=True, tag="ask"):
-    """A holder's beat, an operator's command, or (neither) a look at everything."""
+    """A holder's beat, a command or a look; one of them."""
 
     number: int
     beat: Beat | None = None
-    command: Command | None = None
+    put: Put | None = None
+    look: Look | None = None
+    question: RulesQuestion | None = None
 
 
 class ReplyFrame(msgspec.Struct, frozen=True, tag="reply"):
@@ -54,6 +62,7 @@
     done: Done | None = None
     shown: Shown | None = None
     refused: Refused | None = None
+    rules: RulesAnswer | None = None
 
 
 Frame = Greet | Said | AskFrame | ReplyFrame
@@ -66,11 +75,38 @@
     return host.strip("[]"), int(port)
 
 
+class Tls:
+    """This member's certificate, for both ends of a connection; renewed files are taken up."""
+
+    def __init__(self, record: TlsRecord) -> None:
+        """Raises KeysError."""
+        files = record.certificate, record.key, record.authority
+        self.here, self.there = Identity(*files, server=True), Identity(*files, server=False)
+
+    async def follow(self) -> None:
+        while True:
+            await asyncio.sleep(FOLLOW)
+            for identity in (self.here, self.there):
+                try:
+                    identity.renewed()
+                except KeysError as e:
+                    log.warning("certificate", error=str(e))
+
+
+def certified(writer: asyncio.StreamWriter, name: str) -> bool:
+    """Whether the other end is this agent by its certificate; always, where there is no TLS."""
+    if writer.get_extra_info("ssl_object") is None:
+        return True
+    return peer(writer.get_extra_info("peercert")) == ("agent", name)
+
+
 class Link:
     """What goes to one other member."""
 
-    def __init__(self, name: str, where: str, greet: Greet) -> None:
+    def __init__(self, name: str, where: str, greet: Greet, tls: Tls | None) -> None:
         self.name, self.where, self.greet = name, address(where), greet
+        self.context = tls.there.context if tls is not None else None
+        self.refused = ""
         self.waiting: deque[Frame] = deque(maxlen=WAITING_MOST)
         self.news = asyncio.Event()
         self.task = asyncio.get_running_loop().create_task(self.work())
@@ -82,17 +118,30 @@
     async def work(self) -> None:
         pause = AGAIN[0]
         while True:
-            with contextlib.suppress(OSError, TimeoutError):
+            try:
                 async with asyncio.timeout(DIAL):
-                    reader, writer = await asyncio.open_connection(*self.where)
-                pause = AGAIN[0]
+                    reader, writer = await asyncio.open_connection(*self.where, ssl=self.context)
                 try:
-                    await self.carry(reader, writer)
+                    if certified(writer, self.name):
+                        pause = AGAIN[0]
+                        await self.carry(reader, writer)
+                    else:
+                        self.refuse("its certificate is another's")
                 finally:
                     writer.close()
+            except ssl.SSLError as e:
+                self.refuse(str(getattr(e, "verify_message", "") or e.reason or e))
+            except (OSError, TimeoutError):
+                pass
             await asyncio.sleep(pause)
             pause = min(pause * 2, AGAIN[1])
 
+    def refuse(self, why: str) -> None:
+        """Told once for each reason in a row."""
+        if why != self.refused:
+            log.warning("not-trusted", member=self.name, error=why)
+        self.refused = why
+
     async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Until it breaks; noticed also with nothing to say, or the other never hears a greeting again."""
         tasks = [asyncio.ensure_future(self.write(writer)), asyncio.ensure_future(reader.read(1))]
@@ -121,15 +170,27 @@
 class Links:
     """All of one member's. ``heard`` gets each frame with its sender's name."""
 
-    def __init__(self, greet: Greet, peers: dict[str, str], heard: Callable[[str, Frame], None]) -> None:
-        self.heard = heard
-        self.links = {name: Link(name, where, greet) for name, where in peers.items() if name != greet.name}
+    def __init__(
+        self,
+        greet: Greet,
+        peers: dict[str, str],
+        heard: Callable[[str, Frame], None],
+        tls: Tls | None = None,
+    ) -> None:
+        self.heard, self.tls = heard, tls
+        self.links = {
+            name: Link(name, where, greet, tls) for name, where in peers.items() if name != greet.name
+        }
         self.server: asyncio.Server | None = None
+        self.following: asyncio.Task[None] | None = None
         self.readers: set[asyncio.StreamWriter] = set()
 
     async def listen(self, where: str) -> None:
         """Raises OSError."""
-        self.server = await asyncio.start_server(self.read, *address(where))
+        context = self.tls.here.context if self.tls is not None else None
+        self.server = await asyncio.start_server(self.read, *address(where), ssl=context)
+        if self.tls is not None:
+            self.following = asyncio.get_running_loop().create_task(self.tls.follow())
 
     async def read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         name = ""
@@ -142,6 +203,8 @@
                 frame = DECODER.decode(await reader.readexactly(size))
                 if isinstance(frame, Greet):
                     name = frame.name
+                    if not certified(writer, name):
+                        raise records.RecordsError(f"its certificate is not that of agent {name}")
                 if name not in self.links:
                     raise records.RecordsError(f"{name or 'one without a name'} is no member here")
                 self.heard(name, frame)
@@ -160,6 +223,8 @@
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+        if self.following is not None:
+            self.following.cancel()
         for link in self.links.values():
             link.task.cancel()
         for writer in list(self.readers):
--- a/latchspoke/agent/members.py
+++ b/latchspoke/agent/members.py
@@ -11,21 +11,22 @@
 import random
 import secrets
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 import structlog
 
-from latchspoke.agent.config import MembersRecord
+from latchspoke.agent.config import MembersRecord, TlsRecord
 from latchspoke.agent.ledger import Ledger, LedgerError
-from latchspoke.agent.links import AskFrame, Frame, Greet, Links, ReplyFrame, Said
+from latchspoke.agent.links import AskFrame, Frame, Greet, Links, ReplyFrame, Said, Tls
 from latchspoke.consensus import records
 from latchspoke.consensus.member import ChangeError, Member, NotLeaderError, Output, Role, Timing
 from latchspoke.consensus.records import Members, name_of
-from latchspoke.duties.office import Done, Office, Refused, Reply, Shown
-from latchspoke.duties.records import Answer, Beat, Command
+from latchspoke.duties.office import Done, Look, Office, Put, Refused, Reply, Shown
+from latchspoke.duties.records import Answer, Beat
+from latchspoke.revisions.records import RulesAnswer, RulesQuestion
 
 log = structlog.get_logger("agent.members")
 
@@ -47,6 +48,7 @@
     last: int
     mute: bool
     disk: str = ""  # why it can't write, if so
+    counters: dict[str, int] = {}
 
 
 class MembersChange(msgspec.Struct, frozen=True):
@@ -64,9 +66,10 @@
 class MemberDriver:
     """One member as part of a process."""
 
-    def __init__(self, name: str, record: MembersRecord, home: Path) -> None:
-        """Raises LedgerError."""
+    def __init__(self, name: str, record: MembersRecord, home: Path, tls: TlsRecord | None = None) -> None:
+        """Raises LedgerError, KeysError."""
         self.name, self.record = name, record
+        trust = Tls(tls) if record.tls and tls is not None else None
         self.ledger = Ledger(home / "members.db")
         stored = self.ledger.start(name, secrets.token_hex(4), record.first)
         timing = Timing(record.beat, record.election)
@@ -78,7 +81,8 @@
         self.number = 0
         self.known: dict[str, str] = {}  # identities that have greeted, by name
         self.disk = ""
-        self.links = Links(Greet(name, stored.identity), record.peers, self.heard)
+        self.counters: Counter[str] = Counter()
+        self.links = Links(Greet(name, stored.identity), record.peers, self.heard, trust)
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -126,18 +130,30 @@
         self.number += 1
         number, office = self.number, self.office
         self.replies[number] = back
-        if asked.beat is not None:
-            beat = asked.beat
+        beat, put, look, question = asked.beat, asked.put, asked.look, asked.question
+        if beat is not None:
+            self.counters["beats"] += 1
             self.give(lambda now: office.beat(number, beat, now))
-        elif asked.command is not None:
-            command = asked.command
-            self.give(lambda now: office.command(number, command, now))
-        else:
-            self.give(lambda now: office.show(number, now))
-
-    async def ask(self, beat: Beat | None = None, command: Command | None = None) -> Reply:
+        elif question is not None:
+            self.counters["questions"] += 1
+            self.give(lambda now: office.question(number, question, now))
+        elif put is not None:
+            self.counters["commands"] += 1
+            self.give(lambda now: office.put(number, put, now))
+        elif look is not None:
+            self.counters["looks"] += 1
+            self.give(lambda now: office.look(number, look, now))
+
+    async def ask(
+        self,
+        beat: Beat | None = None,
+        put: Put | None = None,
+        look: Look | None = None,
+        question: RulesQuestion | None = None,
+    ) -> Reply:
         """Here, or of the leader by way of here. No reply in time is ``Refused``, and a command under way."""
-        asked, none = AskFrame(0, beat, command), Refused("", under_way=command is not None)
+        asked = AskFrame(0, beat, put, look, question)
+        none = Refused("", under_way=put is not None)
         if self.office.member.role is Role.HALTED:
             return Refused("")
         loop = asyncio.get_running_loop()
@@ -188,6 +204,7 @@
         return MemberStatus(
             member.identity, member.role.value, member.term, member.leader, member.members.voters,
             member.members.learners, member.commit, member.log.last, member.mute, self.disk,
+            dict(sorted(self.counters.items())),
         )  # fmt: skip
 
     # What is done.
@@ -227,10 +244,15 @@
             if output.to_store:
                 await self.store(output)
             for note in output.notes:
-                log.info(note.code, member=self.office.member.identity, detail=note.detail)
+                self.tell(note.code, note.detail)
             for message in output.messages:
                 self.links.send(name_of(message.target), Said(records.encode(message)))
+            self.counters["messages"] += len(output.messages)
+            self.counters["entries"] += len(output.committed)
             self.office.apply(output, clock())
+            for notes in (self.office.duties.notes, self.office.rules.notes):
+                while notes:
+                    self.tell(*notes.popleft())
             snapshot = self.office.compacted()
             if snapshot is not None:
                 with contextlib.suppress(LedgerError):  # the longer log is as good, and it is tried again
@@ -238,15 +260,23 @@
         answers, self.office.answers = self.office.answers, []
         for number, reply in answers:
             back = self.replies.pop(number, None)
+            self.counters["refused"] += isinstance(reply, Refused)
             if back is not None:
                 back(reply)
 
+    def tell(self, code: str, detail: str) -> None:
+        """Elections, grants, ends, refusals: each has its code, and is counted by it."""
+        self.counters[f"note.{code}"] += 1
+        log.info(code, member=self.office.member.identity, detail=detail)
+
     async def store(self, output: Output) -> None:
         """Synced when it returns, however long that takes."""
         while True:
             try:
+                began = clock()
                 await asyncio.to_thread(self.ledger.save, output)
             except LedgerError as e:
+                self.counters["disk.refused"] += 1
                 if not self.disk:
                     log.error("disk", error=str(e))
                 self.disk = str(e)
@@ -257,6 +287,8 @@
             if self.disk:
                 log.info("disk-back")
                 self.disk = ""
+            self.counters["disk.syncs"] += 1
+            self.counters["disk.slow"] += clock() - began > self.record.election / 2
             return
 
     def welcome(self, now: float) -> None:
@@ -282,7 +314,9 @@
             return ReplyFrame(number, shown=reply)
         case Refused():
             return ReplyFrame(number, refused=reply)
+        case RulesAnswer():
+            return ReplyFrame(number, rules=reply)
 
 
 def from_frame(frame: ReplyFrame) -> Reply:
-    return frame.answer or frame.done or frame.shown or frame.refused or Refused("")
+    return frame.answer or frame.rules or frame.done or frame.shown or frame.refused or Refused("")
--- a/latchspoke/console/operations.py
+++ b/latchspoke/agent/operations.py
@@ -17,7 +17,7 @@
 import msgspec
 import structlog
 
-from latchspoke.console.client import Fleet, RefusedError, UnheardError
+from latchspoke.agent.client import Fleet, RefusedError, UnheardError
 from latchspoke.fleet import wire
 from latchspoke.fleet.rollout import Act, Done, Move, Stand, StepSeen, Stop, Wait, next_move
 from latchspoke.fleet.view import FleetView
@@ -84,7 +84,11 @@
         view: FleetView,
         clock: Callable[[], float] = time.time,
         on_progress: Callable[[Operation, Move], None] = lambda operation, move: None,
+        fence: Callable[[], dict[str, int]] = dict,
     ) -> None:
+        """``fence`` gives the duty's token under which this runs, at each act; raises Refusal once lost."""
+        self.fence = fence
+        self.personal = True  # an end from outside is a person's word
         self.fleet, self.plan, self.view, self.clock = fleet, plan, view, clock
         self.on_progress = on_progress
         self.steps: dict[str, StepSeen] = {}
@@ -112,8 +116,10 @@
             await (self.close("abandoned", str(e)) if self.fresh else self.give_back())
             return self.report("refused", str(e))
         except asyncio.CancelledError:
-            # The plan stays open with its agents, so that resume can go on.
-            await asyncio.shield(self.give_back())
+            # A person's word: nobody goes on with it but by another one. Else it stays open for the next.
+            await asyncio.shield(
+                self.close("interrupted", "by its operator") if self.personal else self.give_back()
+            )
             return self.report("interrupted", f"go on with: latchspoke fleet resume {self.plan.id}")
         finally:
             if renewing is not None:
@@ -149,12 +155,17 @@
 
     async def claim(self, agent: str) -> None:
         client = self.fleet.clients[agent]
-        self.tokens[agent] = await client.claim(self.targets[agent], self.plan.id, TTL)
+        self.tokens[agent] = await client.claim(self.targets[agent], self.plan.id, TTL, self.fence())
 
     async def renew_always(self) -> None:
         while True:
             await asyncio.sleep(RENEW)
-            await self.fleet.ask(lambda client: client.renew(self.tokens[client.name], TTL), self.tokens)
+            with contextlib.suppress(Refusal):
+                self.fence()
+                await self.renew()
+
+    async def renew(self) -> None:
+        await self.fleet.ask(lambda client: client.renew(self.tokens[client.name], TTL), self.tokens)
 
     async def give_back(self) -> None:
         await self.fleet.ask(lambda client: client.release(self.tokens[client.name]), self.tokens)
@@ -248,7 +259,7 @@
 
         def request() -> wire.StepRequest:
             token = self.tokens[agent][name]
-            return wire.StepRequest(plan.id, name, plan.action, token, plan.step_limit)
+            return wire.StepRequest(plan.id, name, plan.action, token, plan.step_limit, self.fence())
 
         try:
             return await client.step(request())
@@ -305,14 +316,18 @@
 
 
 async def resume(
-    fleet: Fleet, ident: str, view: FleetView, on_progress: Callable[[Operation, Move], None]
+    fleet: Fleet,
+    ident: str,
+    view: FleetView,
+    on_progress: Callable[[Operation, Move], None],
+    fence: Callable[[], dict[str, int]] = dict,
 ) -> Operation:
     """The operation as it stands, ready to run. Steps that were begun are not begun again."""
     plan, held = find_operation(await fleet.ask(lambda client: client.operation(ident)), ident)
-    over = {told.state for told in held.values()} - {"open"}
+    over = {told.state for told in held.values()} - {"open", "interrupted"}
     if over:
         raise Refusal(f"operation {ident} is {', '.join(sorted(over))} already")
-    operation = Operation(fleet, plan, view, on_progress=on_progress)
+    operation = Operation(fleet, plan, view, on_progress=on_progress, fence=fence)
     operation.fresh = False
     for agent, told in held.items():
         if agent in operation.targets:
--- a/latchspoke/agent/serve.py
+++ b/latchspoke/agent/serve.py
@@ -10,20 +10,25 @@
 import sys
 from collections.abc import Iterator
 from pathlib import Path
+from typing import TextIO, cast
 
 import structlog
 from aiohttp import web
 
 from latchspoke.agent.api import Api, by_socket
 from latchspoke.agent.checks import Checks
+from latchspoke.agent.client import Fleet, read_fleet
 from latchspoke.agent.config import AgentRecord, TlsRecord
 from latchspoke.agent.ledger import LedgerError
 from latchspoke.agent.members import MemberDriver
+from latchspoke.agent.own import OwnDuties
 from latchspoke.agent.store import Store, StoreError
 from latchspoke.agent.supervisor import Supervisor
 from latchspoke.agent.tls import TlsSite, by_certificate
 from latchspoke.keys.authority import KeysError
+from latchspoke.keys.tls import Identity
 from latchspoke.net.admin import bind
+from latchspoke.records import RecordError
 
 log = structlog.get_logger("agent")
 
@@ -34,6 +39,18 @@
     """The agent can't run; one line says why."""
 
 
+class Tolerant:
+    """Standard error; a log that can't be written, as on a full disk, must not end what it tells of."""
+
+    def write(self, text: str) -> None:
+        with contextlib.suppress(OSError):
+            sys.stderr.write(text)
+
+    def flush(self) -> None:
+        with contextlib.suppress(OSError):
+            sys.stderr.flush()
+
+
 def set_up_logs() -> None:
     """One event a line on standard error: JSON, with the time first."""
     structlog.configure(
@@ -44,7 +61,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, Tolerant())),
         cache_logger_on_first_use=True,
     )
 
@@ -81,6 +98,7 @@
     await supervisor.start()
     checks = Checks(supervisor)
     members = await open_member(config)
+    own = open_duties(config, supervisor, members)
     api = Api(supervisor, by_certificate(by_socket), members)
     runner = web.AppRunner(api.app(), access_log=None, shutdown_timeout=1.0)
     await runner.setup()
@@ -99,6 +117,8 @@
         if site is not None:
             await site.stop()
         await runner.cleanup()
+        if own is not None:
+            await own.stop()
         if members is not None:
             await members.stop()
         await checks.stop()
@@ -111,9 +131,9 @@
     if config.members is None:
         return None
     try:
-        members = MemberDriver(config.name, config.members, config.home)
+        members = MemberDriver(config.name, config.members, config.home, config.tls)
         await members.start()
-    except LedgerError as e:
+    except (LedgerError, KeysError) as e:
         raise AgentError(str(e)) from None
     except OSError as e:
         raise AgentError(f"can't listen at {config.members.peers[config.name]}: {e}") from None
@@ -121,6 +141,26 @@
     return members
 
 
+def open_duties(
+    config: AgentRecord, supervisor: Supervisor, members: MemberDriver | None
+) -> OwnDuties | None:
+    if members is None or config.members is None or config.members.duties is None:
+        return None
+    told = config.members.duties
+    try:
+        record = read_fleet(told.fleet)
+        identity = record.identity
+        tls = identity and Identity(identity.certificate, identity.key, identity.authority, server=False)
+        fleet = Fleet(record, tls.context if tls else None)
+    except (RecordError, KeysError) as e:
+        raise AgentError(str(e)) from None
+
+    def note(kind: str, operation: str, detail: str) -> None:
+        supervisor.record(kind, operation=operation, detail=detail)
+
+    return OwnDuties(members, told, fleet, note)
+
+
 def open_tls(record: TlsRecord, supervisor: Supervisor, runner: web.AppRunner) -> TlsSite:
     assert runner.server is not None  # it has been set up
     try:
--- a/latchspoke/agent/store.py
+++ b/latchspoke/agent/store.py
@@ -33,6 +33,7 @@
     base BLOB NOT NULL, PRIMARY KEY (operation, instance)
 ) WITHOUT ROWID;
 CREATE INDEX IF NOT EXISTS open_steps ON steps (open) WHERE open;
+CREATE TABLE IF NOT EXISTS fences (duty TEXT PRIMARY KEY, token INTEGER NOT NULL) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS events (revision INTEGER PRIMARY KEY AUTOINCREMENT, body BLOB NOT NULL);
 """
 
@@ -113,6 +114,10 @@
         with told():
             return immutables.Map({name: msgspec.json.decode(body, type=Claim) for name, body in rows})
 
+    def fences(self) -> dict[str, int]:
+        """The newest token of each duty that anybody has acted under here."""
+        return dict(self.rows("SELECT duty, token FROM fences"))
+
     def operation(self, ident: str) -> OperationStatus | None:
         rows = self.rows("SELECT body FROM operations WHERE id = ?", ident)
         with told():
@@ -175,6 +180,9 @@
                     "INSERT OR REPLACE INTO claims VALUES (?, ?)", (name, msgspec.json.encode(claim))
                 )
 
+    def fence(self, duty: str, token: int) -> None:
+        self.db.execute("INSERT OR REPLACE INTO fences VALUES (?, ?)", (duty, token))
+
     def operation(self, operation: OperationStatus) -> None:
         plan = operation.plan
         self.db.execute(
--- a/latchspoke/agent/supervisor.py
+++ b/latchspoke/agent/supervisor.py
@@ -70,6 +70,7 @@
         self.launcher = Launcher(config.home)
         self.runtimes: dict[str, Runtime] = {}
         self.claims: claims.Claims = claims.EMPTY
+        self.fences: dict[str, int] = {}
         self.open: dict[tuple[str, str], Step] = {}
         self.revision = 0
         self.certificate_until = 0.0
@@ -85,7 +86,7 @@
         if self.store is not None:
             known, self.claims = self.store.instances(), self.store.claims()
             self.open = {(s.info.operation, s.info.instance): s for s in self.store.open_steps()}
-            self.revision = self.store.revision()
+            self.revision, self.fences = self.store.revision(), self.store.fences()
         for name, record in self.config.instances.items():
             state = known.get(name) or Instance(name, since=self.clock())
             if self.store is None:
@@ -310,8 +311,21 @@
             raise RefusalError(503, "store", self.why_no_store)
         return self.store
 
+    def heed(self, fence: dict[str, int], who: str) -> None:
+        """Refuse what comes under an older token of a duty than was seen here; remember a newer one first."""
+        for duty, token in fence.items():
+            newest = self.fences.get(duty, 0)
+            if token < newest:
+                self.record("fenced", operator=who, detail=f"{duty}: token {token} after {newest}")
+                raise RefusalError(409, "fenced", f"token {token} of {duty} is not the newest, {newest} is")
+            if token > newest:
+                with self.write().transaction() as writer:
+                    writer.fence(duty, token)
+                self.fences[duty] = token
+
     def claim(self, asked: wire.ClaimRequest, who: str) -> list[claims.Claim]:
         store = self.write()
+        self.heed(asked.fence, who)
         for name in asked.instances:
             self.runtime(name)
         try:
@@ -359,6 +373,7 @@
     def step(self, asked: wire.StepRequest, who: str) -> wire.StepInfo:
         """Begin a step, once: asked again, the answer is how it stands."""
         store, runtime, now = self.write(), self.runtime(asked.instance), self.clock()
+        self.heed(asked.fence, who)
         event = steps.EVENTS.get(asked.action)
         if event is None:
             raise RefusalError(400, "bad-request", f"no such action: {asked.action}")
@@ -399,6 +414,12 @@
         if known is not None:
             if known.plan != plan:
                 raise RefusalError(409, "operation", f"operation {plan.id} is there with another plan")
+            if known.state == "interrupted":
+                known = msgspec.structs.replace(known, state="open", detail="")
+                with store.transaction() as writer:
+                    writer.operation(known)
+                    self.note(writer, "operation-resumed", "", "", plan.id, who)
+                self.told_news()
             return self.with_steps(known)
         made = wire.OperationStatus(plan)
         with store.transaction() as writer:
@@ -410,6 +431,11 @@
     def close_operation(self, ident: str, asked: wire.CloseOperation, who: str) -> wire.OperationStatus:
         store = self.write()
         known = self.operation(ident)
+        now = self.clock()
+        for claim in self.claims.values():
+            if claim.operation == ident and claim.holder != who and claim.live(now):
+                # A tool that woke up late must not end what another has gone on with.
+                raise RefusalError(409, "claimed", f"{claim.holder} is going on with {ident}", claim)
         closed = msgspec.structs.replace(known, state=asked.state, detail=asked.detail, steps=[])
         with store.transaction() as writer:
             writer.operation(closed)
--- a/latchspoke/console/duty.py
+++ b/latchspoke/console/duty.py
@@ -8,6 +8,7 @@
   latchspoke duty remove [options] NAME
   latchspoke duty move [options] NAME TO
   latchspoke duty release [options] NAME
+  latchspoke duty findings [options]
   latchspoke duty run [options] NAME [--] COMMAND...
   latchspoke duty -h | --help
 
@@ -19,6 +20,7 @@
   remove   Nobody gets it any more; who holds it is asked to stop.
   move     Have TO take it over, once who holds it has stopped.
   release  Have anybody else take it over.
+  findings What the census of the fleet has found, and since when.
   run      Run COMMAND while this process holds the duty, and end it before the duty is lost.
 
 Options:
@@ -34,8 +36,8 @@
 
 `run` hands COMMAND the variables LATCHSPOKE_DUTY and LATCHSPOKE_TOKEN. What it acts on should refuse a token
 older than one it has seen: a process that is stopped can't be ended in time by anybody but that.
-Exit codes: 0 done, 1 refused or nothing known, 2 wrong usage, 4 unknown whether it was done; of `run`
-COMMAND's own.
+Exit codes: 0 done, 1 refused or nothing known, 2 wrong usage, 3 `findings` has some, 4 unknown whether it
+was done; of `run` COMMAND's own.
 """
 
 from __future__ import annotations
@@ -47,6 +49,7 @@
 import secrets
 import signal
 import sys
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -55,14 +58,18 @@
 from rich.table import Table
 
 from latchspoke import __version__
+from latchspoke.agent.api import DutiesShown
+from latchspoke.agent.client import AgentClient, AgentEntry, RefusedError, UnheardError
+from latchspoke.agent.holding import Holding, over_sockets
 from latchspoke.agent.members import clock
-from latchspoke.console.client import AgentClient, AgentEntry, RefusedError, UnheardError
-from latchspoke.console.holding import Holding
 from latchspoke.console.usage import UsageError, read_duration, read_usage
-from latchspoke.duties.office import Done, Shown
+from latchspoke.duties.findings import Findings
+from latchspoke.duties.office import Done
 from latchspoke.duties.records import Candidate, Define, DutyState, Move, Remove, Rule
+from latchspoke.fleet import wire
 
 LIMIT = 5.0  # s for one question
+AGAIN = 0.3  # s until a command of which nothing is known is asked again
 LOOK = 0.02  # s between looks at what is to be stopped
 NOT_RUN = 127  # the shell's code for a command that can't be run
 KILL_PART = 0.7  # of the time from SIGTERM to the end of the grant; then SIGKILL
@@ -96,16 +103,18 @@
 
 
 async def ask(args: dict[str, Any]) -> int:
-    client = AgentClient("member", AgentEntry(sockets(args)[0]), LIMIT, None)
+    clients = [AgentClient(path, AgentEntry(path), LIMIT, None) for path in sockets(args)]
     try:
         if command := command_of(args):
-            done = await client.call(Done, "POST", "/v1/duties/commands", command)
+            done = await insist(clients, f"/v1/duties/commands?ident={secrets.token_hex(8)}", command)
             if done.why:
                 print(f"latchspoke duty: {done.why}", file=sys.stderr)
             return 1 if done.why else 0
-        shown = await client.call(Shown, "GET", "/v1/duties")
+        if args["findings"]:
+            return show_findings(args, await clients[0].call(Findings, "GET", "/v1/findings"))
+        shown = await clients[0].call(DutiesShown, "GET", "/v1/duties")
     finally:
-        await client.close()
+        await asyncio.gather(*(client.close() for client in clients))
     name = args["NAME"]
     if name and name not in shown.duties:
         print(f"latchspoke duty: there is no duty {name}", file=sys.stderr)
@@ -118,6 +127,40 @@
     return 0
 
 
+async def insist(clients: list[AgentClient], path: str, body: object, tries: int = 4) -> Done:
+    """One command under one ident, asked again elsewhere while nothing is known of it: it is done once."""
+    for n in range(tries):
+        client = clients[n % len(clients)]
+        try:
+            return await client.call(Done, "POST", path, body)
+        except UnheardError as e:
+            # It may have been done; another member, or the same one later, knows.
+            if n == tries - 1:
+                raise RefusedError(wire.Problem("unknown", f"it may have been done: {e}")) from None
+        except RefusedError as e:
+            if e.problem.code not in ("unknown", "no-leader") or n == tries - 1:
+                raise
+        await asyncio.sleep(AGAIN)
+    raise AssertionError
+
+
+def show_findings(args: dict[str, Any], told: Findings) -> int:
+    """3 where something is open, as with `fleet compare`."""
+    if args["--json"]:
+        print(msgspec.json.encode(told).decode())
+    else:
+        made = Table("what", "since", "until", "how", box=None)
+        for one in (*told.open.values(), *reversed(told.past)):
+            until = moment(one.until) if one.until else "now"
+            made.add_row(one.key, moment(one.since), until, one.text)
+        Console(highlight=False, soft_wrap=True).print(made)
+    return 3 if told.open else 0
+
+
+def moment(at: float) -> str:
+    return time.strftime("%m-%d %H:%M:%S", time.localtime(at))
+
+
 def command_of(args: dict[str, Any]) -> Define | Remove | Move | None:
     name = args["NAME"]
     if args["define"]:
@@ -156,7 +199,7 @@
     loop, ending = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ending.set)
-    async with Holding(who, sockets(args), read_duration(args, "--grace")) as holding:
+    async with over_sockets(who, sockets(args), read_duration(args, "--grace")) as holding:
         while True:
             code = await work.look(holding, ending.is_set())
             if code is not None or (ending.is_set() and work.process is None):
--- a/latchspoke/console/fleet.py
+++ b/latchspoke/console/fleet.py
@@ -71,9 +71,9 @@
 import structlog
 from rich.console import Console
 
+from latchspoke.agent.client import Fleet, FleetRecord, one_agent, read_fleet
+from latchspoke.agent.operations import Operation, Refusal, Report, resume
 from latchspoke.console import tables
-from latchspoke.console.client import Fleet, FleetRecord, one_agent, read_fleet
-from latchspoke.console.operations import Operation, Refusal, Report, resume
 from latchspoke.console.usage import UsageError, read_duration, read_usage, read_whole
 from latchspoke.fleet import wire
 from latchspoke.fleet.compare import compare
--- a/latchspoke/console/lab.py
+++ b/latchspoke/console/lab.py
@@ -17,6 +17,7 @@
   --virtual        In virtual time and memory: as fast as the code runs, and one seed gives one result.
   --members N      Of the replicated log [default: 3].
   --holders N      That may hold duties [default: 5].
+  --gates N        Gateways that go by rules with versions, which operators change [default: 0].
   --count N        Schedules to play, from --seed (1) on [default: 200].
   --change NAME    With this guard taken out, which the checker is to find; `list` names them.
   --real           With real processes in the place of virtual time; their folders stay under --out.
--- a/latchspoke/console/members.py
+++ b/latchspoke/console/members.py
@@ -30,8 +30,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from latchspoke.agent.client import AgentClient, AgentEntry, RefusedError, UnheardError
 from latchspoke.agent.members import MembersChange, MemberStatus
-from latchspoke.console.client import AgentClient, AgentEntry, RefusedError, UnheardError
 from latchspoke.console.duty import LIMIT, sockets
 from latchspoke.console.usage import UsageError, read_usage
 
--- a/latchspoke/console/schedules.py
+++ b/latchspoke/console/schedules.py
@@ -12,11 +12,12 @@
 from rich.console import Console
 
 from latchspoke.console.usage import UsageError, read_whole
-from latchspoke.lab.schedules import changes, check, faults
+from latchspoke.lab.schedules import changes, check, faults, rule_changes
 from latchspoke.lab.schedules.check import Verdict
 from latchspoke.lab.schedules.real import draw, trial
 from latchspoke.lab.schedules.world import Setup
 
+GATES = 5  # where a change is one of the rules' versions
 CHUNK = 8  # schedules that a process plays at a time
 
 
@@ -46,7 +47,8 @@
         return 0
     if change and change not in changes.CHANGES:
         raise UsageError(f"--change: there is no {change}; `--change list` names them")
-    setup = Setup(read_whole(args, "--members", 1), read_whole(args, "--holders", 1))
+    gates = read_whole(args, "--gates") or (GATES if change in rule_changes.NAMES else 0)
+    setup = Setup(read_whole(args, "--members", 1), read_whole(args, "--holders", 1), gates=gates)
     first = read_whole(args, "--seed", 0) if args["--seed"] is not None else 1
     seeds = range(first, first + read_whole(args, "--count", 1))
     with ProcessPoolExecutor(read_whole(args, "--processes", 1)) as pool:
@@ -63,6 +65,10 @@
         "acts_refused_by_token": sum(verdict.refused for verdict in verdicts),
         "elections": sum(verdict.elections for verdict in verdicts),
         "longest_idle_after_mending_s": round(max(verdict.longest for verdict in verdicts), 3),
+        "longest_contradiction_of_T": round(max(v.contradicted for v in verdicts), 3),
+        "decided_by_gateways": sum(v.decided for v in verdicts),
+        "decided_without_a_right": sum(v.lapsed for v in verdicts),
+        "damaged_contents_refused": sum(v.damaged for v in verdicts),
         "median_idle_after_mending_s": round(statistics.median(v.longest for v in verdicts), 3),
     }  # fmt: skip
     if args["--json"]:
--- a/latchspoke/console/tables.py
+++ b/latchspoke/console/tables.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 from rich.text import Text
 
-from latchspoke.console.operations import Operation, Report
+from latchspoke.agent.operations import Operation, Report
 from latchspoke.fleet.compare import Comparison
 from latchspoke.fleet.rollout import Act, Done, Move, Stop, Wait
 from latchspoke.fleet.view import AgentSeen, FleetView, Seen
--- a/latchspoke/duties/machine.py
+++ b/latchspoke/duties/machine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import msgspec
 
 from latchspoke.duties.records import (
@@ -19,6 +21,12 @@
 
 NAME = "duties"
 PAST_KEPT = 20  # tenures of each duty, for its history
+NOTES_MOST = 1000
+
+
+CODES: dict[type, str] = {
+    Define: "defined", Remove: "removed", Move: "asked-to-move", Grant: "granted", Release: "released",
+}  # fmt: skip
 
 
 class DutiesMachine:
@@ -26,10 +34,34 @@
 
     def __init__(self) -> None:
         self.duties: dict[str, DutyState] = {}
+        self.notes: deque[tuple[str, str]] = deque(maxlen=NOTES_MOST)  # code and detail, for the logs
 
     def apply(self, index: int, body: bytes) -> str:
         """'' where it was done, else why not."""
         command: Command = msgspec.msgpack.decode(body, type=Command)
+        why = self.carry_out(command)
+        code = f"not-{CODES[type(command)]}" if why else CODES[type(command)]
+        if isinstance(command, Release) and not why:
+            code = command.why.value
+        self.notes.append((code, f"{command.duty}: {why or self.in_words(command)}"))
+        return why
+
+    def in_words(self, command: Command) -> str:
+        state = self.duties[command.duty]
+        match command:
+            case Grant(_, holder, after, ended):
+                return f"{holder} by token {state.token}" + (f", {after} ended" if ended and after else "")
+            case Release(_, token, _):
+                return f"token {token} of {state.tenure.holder if state.tenure else 'nobody'}"
+            case Move(_, to):
+                return f"to {to or 'anybody else'}"
+            case Define(_, rule):
+                return f"grants of {rule.length:g} s"
+            case Remove():
+                return "by an operator"
+        raise AssertionError(command)
+
+    def carry_out(self, command: Command) -> str:
         state = self.duties.get(command.duty)
         if isinstance(command, Define):
             self.duties[command.duty] = self.define(state or DutyState(command.rule), command.rule)
@@ -84,6 +116,10 @@
         past = (*state.past, tenure)[-PAST_KEPT:]
         return msgspec.structs.replace(state, tenure=tenure, past=past)
 
+    def look(self, question: bytes) -> bytes:
+        """All of them."""
+        return self.dump()
+
     def dump(self) -> bytes:
         return msgspec.msgpack.encode(self.duties)
 
--- a/latchspoke/duties/office.py
+++ b/latchspoke/duties/office.py
@@ -1,4 +1,4 @@
-"""A member with the duties on its log: beats, commands and questions in; answers out. Pure.
+"""A member with the state machines on its log: beats, commands and questions in; answers out. Pure.
 
 The driver's part is the same on sockets and in virtual time: after each input, ``take`` until it gives
 nothing, each time store and sync, send the messages, then ``apply``; and hand on ``answers``.
@@ -14,8 +14,14 @@
 from latchspoke.consensus.member import Member, NotLeaderError, Output
 from latchspoke.consensus.records import Entry, Snapshot
 from latchspoke.duties.desk import Desk
+from latchspoke.duties.findings import NAME as FINDINGS
+from latchspoke.duties.findings import FindingsMachine
 from latchspoke.duties.machine import NAME, DutiesMachine
 from latchspoke.duties.records import Answer, Beat, Command, DutyState
+from latchspoke.revisions.desk import RulesDesk
+from latchspoke.revisions.machine import RulesMachine
+from latchspoke.revisions.records import NAME as RULES
+from latchspoke.revisions.records import Activate, RulesAnswer, RulesCommand, RulesQuestion
 
 COMPACT_AFTER = 1000  # entries; then they become a snapshot
 
@@ -38,21 +44,48 @@
 
 @dataclass(frozen=True, slots=True)
 class Shown:
-    """The duties as they were at some moment after the question, up to ``index``."""
+    """What a machine had to show at some moment after the question, with all up to ``index``."""
 
     index: int
-    duties: dict[str, DutyState]
+    body: bytes
 
 
-Reply = Answer | Refused | Done | Shown
+class Put(msgspec.Struct, frozen=True):
+    """A command for a machine; ``ident`` is drawn by who asks, so that it may ask again."""
+
+    machine: str
+    body: bytes
+    ident: str = ""
+
+
+class Look(msgspec.Struct, frozen=True):
+    """A question to a machine."""
+
+    machine: str
+    question: bytes = b""
+
+
+Reply = Answer | RulesAnswer | Refused | Done | Shown
+
+
+def put_duty(command: Command, ident: str = "") -> Put:
+    return Put(NAME, msgspec.msgpack.encode(command), ident)
+
+
+def put_rules(command: RulesCommand, ident: str = "") -> Put:
+    return Put(RULES, msgspec.msgpack.encode(command), ident)
+
+
+def read_duties(shown: Shown) -> dict[str, DutyState]:
+    return msgspec.msgpack.decode(shown.body, type=dict[str, DutyState])
 
 
 @dataclass(slots=True)
 class Question:
-    """A beat, or (None) a look at everything, that waits for a majority's word."""
+    """A beat, a gateway's question or a look that waits for a majority's word."""
 
     asker: int
-    beat: Beat | None
+    what: Beat | RulesQuestion | Look
     received: float
     index: int = -1  # what must be applied first, once confirmed
 
@@ -63,11 +96,15 @@
     def __init__(self, member: Member, drift: float) -> None:
         self.member = member
         self.duties = DutiesMachine()
-        self.machines = Machines({NAME: self.duties})
+        self.findings = FindingsMachine(self.duties)
+        self.rules = RulesMachine()
+        self.machines = Machines({NAME: self.duties, FINDINGS: self.findings, RULES: self.rules})
+        self.rules_desk = RulesDesk(self.rules, drift)
         self.desk = Desk(self.duties, drift)
         self.desk_term = -1
         self.questions: dict[int, Question] = {}
-        self.proposed: dict[int, tuple[int, int | None, Command]] = {}  # index: term, who asked, what
+        # By index: the term, who asked, and the command if it is the desk's concern.
+        self.proposed: dict[int, tuple[int, int | None, Command | Activate | None]] = {}
         self.answers: list[tuple[int, Reply]] = []
         self.number = 0
 
@@ -77,14 +114,18 @@
         self.ask(Question(asker, beat, now), now)
         if self.leads:
             for command in self.desk.heard(beat, now):
-                self.propose(None, command, now)
+                self.propose(command, now)
+
+    def question(self, asker: int, question: RulesQuestion, now: float) -> None:
+        """A gateway's, about the rules by which it may act."""
+        self.ask(Question(asker, question, now), now)
 
-    def show(self, asker: int, now: float) -> None:
-        self.ask(Question(asker, None, now), now)
+    def look(self, asker: int, look: Look, now: float) -> None:
+        self.ask(Question(asker, look, now), now)
 
-    def command(self, asker: int, command: Command, now: float) -> None:
+    def put(self, asker: int, put: Put, now: float) -> None:
         try:
-            self.propose(asker, command, now)
+            self.add(asker, put, None, now)
         except NotLeaderError as e:
             self.answers.append((asker, Refused(e.leader)))
 
@@ -92,7 +133,9 @@
         self.member.tick(now)
         if self.leads:
             for command in self.desk.due(now):
-                self.propose(None, command, now)
+                self.propose(command, now)
+            for activate in self.rules_desk.due(now):
+                self.add(None, put_rules(activate), activate, now)
 
     # The driver's turn.
 
@@ -140,6 +183,7 @@
             if self.desk_term != member.term:
                 self.desk_term = member.term
                 self.desk.lead(member.elected_at)
+                self.rules_desk.lead(member.elected_at)
         else:
             self.desk_term = -1
 
@@ -152,29 +196,43 @@
             return
         self.questions[self.number] = question
 
-    def propose(self, asker: int | None, command: Command, now: float) -> None:
-        entry = self.member.propose(Machines.command(NAME, msgspec.msgpack.encode(command)), now)
+    def propose(self, command: Command, now: float) -> None:
+        """The desk's own."""
+        self.add(None, put_duty(command), command, now)
+
+    def add(self, asker: int | None, put: Put, command: Command | Activate | None, now: float) -> None:
+        entry = self.member.propose(Machines.command(put.machine, put.body, put.ident), now)
         self.proposed[entry.index] = entry.term, asker, command
 
     def carry_out(self, entry: Entry, now: float) -> None:
-        why = self.machines.apply(entry)
+        result = self.machines.apply(entry)
         term, asker, command = self.proposed.pop(entry.index, (-1, None, None))
-        if command is None:
-            return
-        own = term == entry.term
-        if self.desk_term == self.member.term:
+        if isinstance(command, Activate):
+            self.rules_desk.applied(command, now)
+        elif command is not None and self.desk_term == self.member.term:
             self.desk.applied(command, now)
         if asker is not None:
-            self.answers.append((asker, Done(entry.index, why or "") if own else Refused(self.member.leader)))
+            own = term == entry.term and result is not None
+            self.answers.append((asker, Done(*result) if own and result else Refused(self.member.leader)))
 
     def reply(self, now: float) -> None:
         """Questions that a majority has confirmed, and whose entries are applied."""
         for ident, question in list(self.questions.items()):
             if not 0 <= question.index <= self.machines.applied:
                 continue
-            if question.beat is None:
+            what = question.what
+            if isinstance(what, Look):
                 del self.questions[ident]
-                self.answers.append((question.asker, Shown(question.index, dict(self.duties.duties))))
+                self.answers.append((question.asker, self.shown(what, question.index)))
             elif self.leads:
                 del self.questions[ident]
-                self.answers.append((question.asker, self.desk.answer(question.beat, question.received, now)))
+                self.answers.append((question.asker, self.answer(what, question.received, now)))
+
+    def answer(self, what: Beat | RulesQuestion, received: float, now: float) -> Reply:
+        if isinstance(what, RulesQuestion):
+            return self.rules_desk.answer(what, received, now)
+        return self.desk.answer(what, received, now)
+
+    def shown(self, look: Look, index: int) -> Shown | Refused:
+        machine = self.machines.machines.get(look.machine)
+        return Refused("") if machine is None else Shown(index, machine.look(look.question))
--- a/latchspoke/fleet/wire.py
+++ b/latchspoke/fleet/wire.py
@@ -120,7 +120,7 @@
     """An operation as one agent recorded it: the plan, how it stands, and the steps on its instances."""
 
     plan: OperationPlan
-    state: str = "open"  # open, done, stopped, abandoned
+    state: str = "open"  # open, interrupted (by a person), done, stopped, abandoned
     detail: str = ""
     steps: list[StepInfo] = []
 
@@ -137,9 +137,12 @@
 
 
 class ClaimRequest(Record, frozen=True, omit_defaults=True):
+    """``fence``: the token of the duty under which this is asked, by its name, if it is under one."""
+
     instances: list[str]
     operation: str
     ttl: float = 30.0
+    fence: dict[str, int] = {}
 
 
 class TokenRequest(Record, frozen=True, omit_defaults=True):
@@ -159,6 +162,7 @@
     action: str
     token: int
     limit: float = 60.0
+    fence: dict[str, int] = {}
 
 
 class Event(Record, frozen=True, omit_defaults=True):
--- a/latchspoke/keys/authority.py
+++ b/latchspoke/keys/authority.py
@@ -107,12 +107,15 @@
     key = ec.generate_private_key(ec.SECP256R1())
     names: list[x509.GeneralName] = [x509.UniformResourceIdentifier(f"latchspoke://fleet/{role}/{name}")]
     names += [general_name(host) for host in hosts]
-    purpose = ExtendedKeyUsageOID.SERVER_AUTH if role == "agent" else ExtendedKeyUsageOID.CLIENT_AUTH
+    # An agent is asked, and asks other members; what it may do as one that asks is decided by its role.
+    purposes = [ExtendedKeyUsageOID.CLIENT_AUTH]
+    if role == "agent":
+        purposes.append(ExtendedKeyUsageOID.SERVER_AUTH)
     builder = start(named(name), authority.certificate.subject, key.public_key(), now, life)
     for extension, critical in (
         (x509.BasicConstraints(ca=False, path_length=None), True),
         (usage(sign=False), True),
-        (x509.ExtendedKeyUsage([purpose]), False),
+        (x509.ExtendedKeyUsage(purposes), False),
         (x509.SubjectAlternativeName(names), False),
         (x509.AuthorityKeyIdentifier.from_issuer_public_key(authority.key.public_key()), False),
     ):
--- a/latchspoke/lab/schedules/changes.py
+++ b/latchspoke/lab/schedules/changes.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from latchspoke.consensus.machines import Machines, Result
 from latchspoke.consensus.member import Member
 from latchspoke.consensus.records import AskVote, Wire
 from latchspoke.duties.desk import Desk
@@ -102,6 +103,11 @@
     return not right.stopping
 
 
+@change(Machines, "remember")
+def command_done_again(machines: Machines, ident: str, result: Result) -> None:
+    """Asked again, as its answer was lost, it is carried out again."""
+
+
 @change(Member, "read")
 def read_without_a_majority(member: Member, ident: int, now: float) -> None:
     member.must_lead()
--- a/latchspoke/lab/schedules/real.py
+++ b/latchspoke/lab/schedules/real.py
@@ -11,6 +11,7 @@
 import contextlib
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -26,6 +27,7 @@
 from latchspoke.duties.records import Define, Rule
 from latchspoke.fleet import wire
 from latchspoke.lab.relay import Mode, Relay
+from latchspoke.lab.schedules.agent import SLOW
 from latchspoke.lab.schedules.check import Verdict
 from latchspoke.lab.schedules.faults import Fault
 
@@ -36,7 +38,9 @@
 ACT = str(Path(__file__).with_name("act.py"))
 KINDS = (
     "kill-agent", "stop-agent", "kill-holder", "stop-holder", "hold", "one-way", "refuse", "slow", "reset",
+    "full-disk", "slow-disk",
 )  # fmt: skip
+SLOW_DISK = 0.6  # s that each sync takes more; an election's time is 0.4 s
 
 
 def draw(seed: int, agents: int, holders: int) -> tuple[Fault, ...]:
@@ -89,23 +93,23 @@
         members = f'members: {{peers: {told}, first: {first}, election: "400ms"}}'
         (self.base / f"a{one}.cue").write_text(f'name: "a{one}"\nfolder: "a{one}"\n{members}\n')
 
-    def start(self, name: str, *words: str) -> None:
+    def start(self, module: str, name: str, *words: str) -> None:
         old = self.processes.get(name)
         if old is not None and old.poll() is None:
             return
         with open(self.base / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "latchspoke", *words], stdout=log, stderr=log, start_new_session=True
+                [sys.executable, "-m", module, *words], stdout=log, stderr=log, start_new_session=True
             )
 
     def start_agent(self, n: int) -> None:
-        self.start(f"a{n}", "agent", "--config", str(self.base / f"a{n}.cue"))
+        self.start("latchspoke.lab.schedules.agent", f"a{n}", "--config", str(self.base / f"a{n}.cue"))
 
     def start_holder(self, n: int) -> None:
         sockets = ",".join(self.socket((n + k) % self.agents) for k in range(self.agents))
         command = [sys.executable, "-S", ACT, str(self.record)]
         words = ["duty", "run", DUTY, "--as", f"h{n}", "--socket", sockets, "--grace", "200ms"]
-        self.start(f"h{n}", *words, "--", *command)
+        self.start("latchspoke", f"h{n}", *words, "--", *command)
 
     def acts(self) -> list[tuple[float, int, int, str]]:
         lines = self.record.read_text().split("\n") if self.record.exists() else []
@@ -154,6 +158,12 @@
             (self.start_agent if name[0] == "a" else self.start_holder)(n)
         elif fault.kind in ("stop-agent", "stop-holder"):
             await self.stop(f"{fault.kind[5]}{n}", fault.lasts)
+        elif fault.kind == "full-disk":
+            await self.fill(f"a{n}", fault.lasts)
+        elif fault.kind == "slow-disk":
+            (self.base / f"a{n}" / SLOW).write_text(str(SLOW_DISK))
+            await asyncio.sleep(fault.lasts)
+            (self.base / f"a{n}" / SLOW).unlink()
         else:
             pairs = [pair for pair in self.relays if n in pair]
             if fault.kind == "one-way":
@@ -181,6 +191,17 @@
         for pid in pids:
             send(pid, signal.SIGCONT)
 
+    async def fill(self, name: str, lasts: float) -> None:
+        """No file of this process takes a byte more: its ledger, its store and its log all fail."""
+        process = self.processes[name]
+        if process.poll() is not None:
+            return
+        limits = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, limits[1]))
+        await asyncio.sleep(lasts)
+        with contextlib.suppress(ProcessLookupError):
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, limits)
+
     async def play(self, schedule: tuple[Fault, ...]) -> None:
         began = clock()
 
--- a/latchspoke/records/schemas/agent.cue
+++ b/latchspoke/records/schemas/agent.cue
@@ -34,6 +34,17 @@
 		beat: time.Duration | *"100ms"
 		election: time.Duration | *"1s" // a follower stands after so long to twice that
 		drift: number & >0 & <0.2 | *0.02 // how much faster or slower any clock may run
+		tls: bool | *false // between members, by the certificate in `tls`; needed beyond loopback
+
+		// The program's own duties, which one of the agents that name them holds at a time.
+		duties?: {
+			fleet: string & !="" // the file that names the whole fleet's agents
+			resume: bool | *true // go on with operations whose tool has died
+			census: bool | *true // compare the whole fleet, and put on record what differs
+			length: time.Duration | *"10s" // of a grant
+			every: time.Duration | *"30s" // between two looks at the fleet
+			quiet: time.Duration | *"10s" // without any claim, an operation counts as left
+		}
 	}
 
 	instances: [=~"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"]: #Instance
--- a/tests/agent/test_operators.py
+++ b/tests/agent/test_operators.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from latchspoke.console.client import RefusedError
+from latchspoke.agent.client import RefusedError
 from latchspoke.fleet import wire
 from tests.agent.world import QUICK, World, ask, details, gather_all, outcomes, until
 
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -17,8 +17,8 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from latchspoke.agent.client import Fleet, read_fleet
 from latchspoke.console import fleet as command
-from latchspoke.console.client import Fleet, read_fleet
 from latchspoke.fleet import wire
 
 T = TypeVar("T")
