--- a/barleyhub/state.py
+++ b/barleyhub/state.py
@@ -132,6 +132,9 @@
         if fresh:
             # Also later totals of this period hold nothing of what was used before it.
             tally.base, tally.base_at = tally.level * kept(gap, self.depth), now
+        elif tally is self.turned:
+            # Refusals only narrow the gate: those of long ago, counted on, would shut out what fits.
+            tally.base = 0.0
         before = tally.base * kept(now - tally.base_at, self.depth) if tally.base else 0.0
         level = before + total / self.weight(tally, now)
         tally.mean += (level - tally.mean) * (1 - kept(gap, FRESH * self.depth))
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -82,6 +82,16 @@
     assert held.between(10.0, 12.0) < 2 * 4.4 + 6.0, held.between(10.0, 12.0)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_period_of_the_counter_gives_no_burst_anew(seed: int) -> None:
+    """Seen at 1008 s, where a period begins: 16 admitted within the second where 4 were allowed."""
+    held = Set(replace(PLAN, rate=4.0, burst=12.0, over_cost=0.6), seed)
+    held.run(16.0, 40.0)
+    account = held.gates[0].gateway.accounts["c"]
+    assert held.began // account.period != held.now // account.period, "a period has begun meanwhile"
+    assert max(held.between(n, n + 2) for n in range(6, 15)) < 2 * 4.0 + 8.0
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_lower_figure_holds_within_seconds_and_a_higher_one_is_used(seed: int) -> None:
     old = replace(PLAN, rate=8.0, burst=16.0, over_cost=0.6)
