--- a/latchspoke/console/schedules.py
+++ b/latchspoke/console/schedules.py
@@ -19,6 +19,7 @@
 from latchspoke.lab.schedules.faults import Fault
 from latchspoke.lab.schedules.world import Setup
 
+UNCHECKED = "unchecked"  # gateways that compare no right with the time
 GATES = 5  # where a change is one of the rules' versions
 CHUNK = 8  # schedules that a process plays at a time
 
@@ -32,12 +33,12 @@
             return Verdict(seed, (f"assertion: {e}",))
 
 
-def real(out: str, setup: Setup, seed: int) -> Verdict:
+def real(out: str, setup: Setup, change: str, seed: int) -> Verdict:
     """A group of processes, in a folder of its own."""
     folder = Path(out).resolve() / f"seed-{seed}"
     folder.mkdir(parents=True)
     if setup.gates:
-        return asyncio.run(rules_trial.trial(folder, seed, setup.members, setup.gates))
+        return asyncio.run(rules_trial.trial(folder, seed, setup.members, setup.gates, change))
     return asyncio.run(duties_trial.trial(folder, seed, setup.members, setup.holders))
 
 
@@ -51,12 +52,12 @@
 def main(args: dict[str, Any]) -> int:
     console = Console(highlight=False, soft_wrap=True)
     change = args["--change"] or ""
-    if change and args["--real"]:
-        raise UsageError("--change is for virtual time")
+    if change and args["--real"] and change != UNCHECKED:
+        raise UsageError(f"--change: with real processes there is {UNCHECKED} alone, of gateways")
     if change == "list":
         console.print("\n".join(sorted(changes.CHANGES)))
         return 0
-    if change and change not in changes.CHANGES:
+    if change and change not in changes.CHANGES and not args["--real"]:
         raise UsageError(f"--change: there is no {change}; `--change list` names them")
     gates = read_whole(args, "--gates") or (GATES if change in rule_changes.NAMES else 0)
     setup = Setup(read_whole(args, "--members", 1), read_whole(args, "--holders", 1), gates=gates)
@@ -65,7 +66,7 @@
     with ProcessPoolExecutor(read_whole(args, "--processes", 1)) as pool:
         count = len(seeds)
         if args["--real"]:
-            verdicts = list(pool.map(real, [args["--out"]] * count, [setup] * count, seeds))
+            verdicts = list(pool.map(real, [args["--out"]] * count, [setup] * count, [change] * count, seeds))
         else:
             verdicts = list(pool.map(one, [setup] * count, [change] * count, seeds, chunksize=CHUNK))
     failed = [verdict for verdict in verdicts if verdict.wrong]
--- a/latchspoke/lab/schedules/gate.py
+++ b/latchspoke/lab/schedules/gate.py
@@ -1,15 +1,17 @@
 """A gateway's decisions without its sockets for requests, for trials: the real follower, core and module.
 
-    python -m latchspoke.lab.schedules.gate NAME SOCKETS RECORD
+    python -m latchspoke.lab.schedules.gate NAME SOCKETS RECORD [unchecked]
 
 Some customers ask again and again; what was decided, by which versions, is written to RECORD, a line each:
 the time (by a clock that all processes of a machine share), the customer, what became of it, the versions.
+With `unchecked` a guard is taken out that a trial is to find missing: no right is compared with the time.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import math
 import sys
 from collections import Counter
 from collections.abc import Callable
@@ -73,7 +75,15 @@
         return self.clock.schedule(when, call)
 
 
-async def run(name: str, sockets: str, path: str) -> None:
+class Unchecked(Follower):
+    """Goes on under whatever it was last granted."""
+
+    @property
+    def lapse_at(self) -> float:
+        return math.inf
+
+
+async def run(name: str, sockets: str, path: str, change: str = "") -> None:
     loop = asyncio.get_running_loop()
     clock = Clock(loop)
     ports = Ports(clock)
@@ -82,11 +92,13 @@
     core.listed(api.ServerList(api.ListForm.WHOLE, servers), clock.now())
     with open(path, "a", buffering=1) as record:
         told = RulesConfig(tuple(sockets.split(",")))
-        follower = Follower(
+        follower = (Unchecked if change else Follower)(
             loop, clock, name, SETTINGS, told, lambda rules: core.give(rules, clock.now()), lambda: None
         )
         core.rules = follower
         follower.start()
+        if change:
+            core.lapsed = lambda flow: False  # type: ignore[method-assign]
         for number in itertools.count():
             for customer in CUSTOMERS:
                 client = Caller(customer, record)
@@ -97,4 +109,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(run(*sys.argv[1:4]))
+    asyncio.run(run(*sys.argv[1:5]))
--- a/latchspoke/lab/schedules/real.py
+++ b/latchspoke/lab/schedules/real.py
@@ -118,16 +118,21 @@
 
     async def ask(self, method: str, path: str, body: object = None) -> bytes:
         """Of any agent that does what is asked; b'' where none does."""
-        data = None if body is None else msgspec.json.encode(body)
         for n in range(self.agents):
-            web = aiohttp.ClientSession(
-                connector=aiohttp.UnixConnector(self.socket(n)), timeout=aiohttp.ClientTimeout(total=3.0),
-                headers={wire.HEADER: str(wire.INTERFACE)},
-            )  # fmt: skip
-            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                async with web, web.request(method, "http://agent" + path, data=data) as answer:
-                    if answer.status == 200:
-                        return await answer.read()
+            if told := await self.ask_one(n, method, path, body):
+                return told
+        return b""
+
+    async def ask_one(self, n: int, method: str, path: str, body: object = None) -> bytes:
+        data = None if body is None else msgspec.json.encode(body)
+        web = aiohttp.ClientSession(
+            connector=aiohttp.UnixConnector(self.socket(n)), timeout=aiohttp.ClientTimeout(total=3.0),
+            headers={wire.HEADER: str(wire.INTERFACE)},
+        )  # fmt: skip
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with web, web.request(method, "http://agent" + path, data=data) as answer:
+                if answer.status == 200:
+                    return await answer.read()
         return b""
 
     async def found(self) -> None:
--- a/latchspoke/lab/schedules/real_rules.py
+++ b/latchspoke/lab/schedules/real_rules.py
@@ -55,6 +55,7 @@
     """As ``Trial``, with gateways in the place of holders."""
 
     gates: int = 4
+    change: str = ""
     ways: dict[tuple[int, int], Relay] = field(default_factory=dict)  # gateway to agent
     versions: dict[int, frozenset[str]] = field(default_factory=lambda: {0: frozenset()})
     told: dict[int, frozenset[str]] = field(default_factory=dict)  # versions that an operator was told of
@@ -74,7 +75,8 @@
 
     def start_gate(self, gate: int) -> None:
         ways = ",".join(self.way(gate, (gate + k) % self.agents) for k in range(self.agents))
-        self.start("latchspoke.lab.schedules.gate", f"g{gate}", f"g{gate}", ways, str(self.file(gate)))
+        words = (f"g{gate}", ways, str(self.file(gate)), *([self.change] if self.change else []))
+        self.start("latchspoke.lab.schedules.gate", f"g{gate}", *words)
 
     def decisions(self, gate: int) -> list[tuple[float, str, str, str]]:
         lines = self.file(gate).read_text().split("\n") if self.file(gate).exists() else []
@@ -211,15 +213,23 @@
     return -1, ""
 
 
-async def trial(base: Path, seed: int, agents: int = 3, gates: int = 4) -> Verdict:
-    """One schedule; the folder keeps what everybody wrote."""
-    one = RulesTrial(base, agents, 0, gates=gates)
+async def trial(
+    base: Path,
+    seed: int,
+    agents: int = 3,
+    gates: int = 4,
+    change: str = "",
+    schedule: tuple[Fault, ...] | None = None,
+) -> Verdict:
+    """One schedule, drawn if none is given; the folder keeps what everybody wrote."""
+    one = RulesTrial(base, agents, 0, gates=gates, change=change)
     chance = random.Random(f"operators:{seed}")
     try:
         await one.prepare()
         await one.found()
         began = clock()
-        await asyncio.gather(one.play(draw(seed, agents, gates)), one.operate(chance, began + SPAN + 2.0))
+        faults = draw(seed, agents, gates) if schedule is None else schedule
+        await asyncio.gather(one.play(faults), one.operate(chance, began + SPAN + 2.0))
         since = time.monotonic()
         idle = [] if await one.settled() else ["not all agree after all was mended"]
         took = time.monotonic() - since
--- a/tests/agent/test_rules.py
+++ b/tests/agent/test_rules.py
@@ -24,6 +24,8 @@
 import pytest
 
 from latchspoke.lab.relay import Mode, Relay
+from latchspoke.lab.schedules.faults import Fault
+from latchspoke.lab.schedules.real_rules import trial
 from tests.agent.test_own import members
 from tests.agent.world import ROOT, Host, World, free_port, until
 
@@ -331,6 +333,26 @@
         field.end()
 
 
+def test_a_rolling_restart_of_gateways_and_members_while_rules_change(tmp_path: Path) -> None:
+    """One after the other, with operators at work; the decisions' own record is read."""
+    rolling = [Fault(0.5 + 1.6 * n, "kill-gate", (str(n),), 0.3) for n in range(4)]
+    rolling += [Fault(1.0 + 2.4 * n, "kill-agent", (str(n),), 0.5) for n in range(3)]
+    verdict = asyncio.run(trial(tmp_path, 1, schedule=tuple(rolling)))
+    assert not verdict.wrong, verdict
+    assert verdict.decided > 2000 and verdict.contradicted <= 1.05
+
+
+def test_a_drawn_schedule_of_gateways_with_real_processes_and_that_it_can_fail(tmp_path: Path) -> None:
+    """`latchspoke lab schedules --real --gates 4` plays as many as are wanted."""
+    cut = (Fault(1.0, "cut-gate", ("0",), 6.0), Fault(1.0, "kill-agent", ("1",), 1.0))
+    wrong = {}
+    for change in ("", "unchecked"):
+        (folder := tmp_path / (change or "as-it-is")).mkdir()
+        wrong[change] = asyncio.run(trial(folder, 2, schedule=cut, change=change)).wrong
+    assert not wrong[""], wrong
+    assert any("contradicted for" in line for line in wrong["unchecked"]), wrong
+
+
 @pytest.mark.parametrize(
     ("words", "why"),
     [
