--- a/latchspoke/agent/operations.py
+++ b/latchspoke/agent/operations.py
@@ -25,7 +25,7 @@
 log = structlog.get_logger("operation")
 
 TTL = 20.0  # s; a tool that dies holds up others no longer than this
-RENEW = 5.0  # s
+RENEW_PART = 0.25  # of that; then they are renewed
 LOOK = 0.2  # s between looks while steps are under way
 STANDS = {"doing": Stand.DOING, "done": Stand.DONE, "failed": Stand.FAILED}
 
@@ -85,9 +85,12 @@
         clock: Callable[[], float] = time.time,
         on_progress: Callable[[Operation, Move], None] = lambda operation, move: None,
         fence: Callable[[], dict[str, int]] = dict,
+        ttl: float | None = None,
     ) -> None:
-        """``fence`` gives the duty's token under which this runs, at each act; raises Refusal once lost."""
-        self.fence = fence
+        """``ttl``: s that its claims last. ``fence`` gives the token of the duty under which this runs, at
+        each act; it raises Refusal once that is lost.
+        """
+        self.fence, self.ttl = fence, TTL if ttl is None else ttl
         self.personal = True  # an end from outside is a person's word
         self.fleet, self.plan, self.view, self.clock = fleet, plan, view, clock
         self.on_progress = on_progress
@@ -155,17 +158,17 @@
 
     async def claim(self, agent: str) -> None:
         client = self.fleet.clients[agent]
-        self.tokens[agent] = await client.claim(self.targets[agent], self.plan.id, TTL, self.fence())
+        self.tokens[agent] = await client.claim(self.targets[agent], self.plan.id, self.ttl, self.fence())
 
     async def renew_always(self) -> None:
         while True:
-            await asyncio.sleep(RENEW)
+            await asyncio.sleep(RENEW_PART * self.ttl)
             with contextlib.suppress(Refusal):
                 self.fence()
                 await self.renew()
 
     async def renew(self) -> None:
-        await self.fleet.ask(lambda client: client.renew(self.tokens[client.name], TTL), self.tokens)
+        await self.fleet.ask(lambda client: client.renew(self.tokens[client.name], self.ttl), self.tokens)
 
     async def give_back(self) -> None:
         await self.fleet.ask(lambda client: client.release(self.tokens[client.name]), self.tokens)
@@ -321,13 +324,14 @@
     view: FleetView,
     on_progress: Callable[[Operation, Move], None],
     fence: Callable[[], dict[str, int]] = dict,
+    ttl: float | None = None,
 ) -> Operation:
     """The operation as it stands, ready to run. Steps that were begun are not begun again."""
     plan, held = find_operation(await fleet.ask(lambda client: client.operation(ident)), ident)
     over = {told.state for told in held.values()} - {"open", "interrupted"}
     if over:
         raise Refusal(f"operation {ident} is {', '.join(sorted(over))} already")
-    operation = Operation(fleet, plan, view, on_progress=on_progress, fence=fence)
+    operation = Operation(fleet, plan, view, on_progress=on_progress, fence=fence, ttl=ttl)
     operation.fresh = False
     for agent, told in held.items():
         if agent in operation.targets:
--- a/latchspoke/agent/own.py
+++ b/latchspoke/agent/own.py
@@ -35,6 +35,7 @@
 log = structlog.get_logger("agent.duties")
 
 LOOK = 0.05  # s between looks at what is to be begun or stopped
+TTL_GRANTS = 2  # grants that claims last: whoever comes next waits for their lapse
 STOP = 1.0  # s that a duty's work may need to stop
 RESUME, CENSUS = "resume", "census"
 
@@ -172,7 +173,8 @@
         view = await self.fleet.look(FleetView(), time.time)
         self.note("resumes", ident, f"under token {token}")
         try:
-            operation = await resume(self.fleet, ident, view, quietly, self.fence)
+            ttl = TTL_GRANTS * float(self.record.length)
+            operation = await resume(self.fleet, ident, view, quietly, self.fence, ttl)
             operation.personal = False
             report = await operation.run()
         except Refusal as e:
