Take the ports of trials with real processes from a range of their own

Ports now lie below the kernel's own range and apart from those of the tests. Ruled out: the program itself, whose other two agents had founded the group.

--- a/latchspoke/lab/schedules/real.py
+++ b/latchspoke/lab/schedules/real.py
@@ -34,6 +34,7 @@
 LENGTH = 1.5  # s of a grant
 SPAN = 8.0  # s in which faults come
 PATIENCE = 20.0  # s
+PORTS = 10_000, 20_000  # apart from those of the tests
 DUTY = "trial"
 ACT = str(Path(__file__).with_name("act.py"))
 KINDS = (
@@ -76,7 +77,7 @@
     async def prepare(self) -> None:
         """The agents' ports are held until the relays have theirs, or one could come to lead to itself."""
         with contextlib.ExitStack() as stack:
-            held = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(self.agents)]
+            held = [stack.enter_context(open_port()) for _ in range(self.agents)]
             ports = [int(one.getsockname()[1]) for one in held]
             for one in range(self.agents):
                 await self.write(one, ports)
@@ -252,6 +253,13 @@
         return found
 
 
+def open_port() -> socket.socket:
+    """Below the range from which the kernel takes ports by itself: once let go, nobody else comes upon it."""
+    while True:
+        with contextlib.suppress(OSError):
+            return socket.create_server(("127.0.0.1", random.randrange(*PORTS)))
+
+
 def children(pid: int) -> list[int]:
     with contextlib.suppress(OSError):
         return [int(n) for n in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
