Define the program's own duties beside the loop that ends them in time

Need, from reading: OwnDuties.work waited up to 3 s for an answer about definitions, in which what had to stop was not looked at. Every act asks for its token anyway.

--- a/latchspoke/agent/own.py
+++ b/latchspoke/agent/own.py
@@ -36,6 +36,7 @@
 
 LOOK = 0.05  # s between looks at what is to be begun or stopped
 TTL_GRANTS = 2  # grants that claims last: whoever comes next waits for their lapse
+DEFINE = 0.5  # s between looks at whether there are such duties
 STOP = 1.0  # s that a duty's work may need to stop
 RESUME, CENSUS = "resume", "census"
 
@@ -85,16 +86,17 @@
 
     async def work(self) -> None:
         async with self.holding:
+            # Apart: what waits for an answer must not hold up what has to stop in time.
+            defining = asyncio.get_running_loop().create_task(self.define_all())
             try:
                 while True:
                     try:
-                        await self.define()
                         await self.look()
                     except Exception:
                         log.exception("failed", duty="")
-                        await asyncio.sleep(1.0)
                     await asyncio.sleep(LOOK)
             finally:
+                defining.cancel()
                 await self.end(list(self.tasks))
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(STOP):
@@ -128,13 +130,15 @@
                 log.exception("failed", duty=duty)
             await asyncio.sleep(self.record.every)
 
-    async def define(self) -> None:
+    async def define_all(self) -> None:
         """Duties that nobody has ever heard of are made; one that an operator removed stays so."""
-        if self.defined >= self.wanted.keys() or not self.driver.office.member.leader:
-            return
+        while not self.defined >= self.wanted.keys():
+            await self.define()
+            await asyncio.sleep(DEFINE)
+
+    async def define(self) -> None:
         shown = await self.driver.ask(look=Look(DUTIES))
         if not isinstance(shown, Shown):
-            await asyncio.sleep(1.0)
             return
         known = read_duties(shown)
         for duty in self.wanted:
