Leave an agent that hears no leader for another, and keep long lists off the loop

Cause, from reading Follower.heard and in_vain: an agent that answers 503, as it is cut off from the leader, kept its connection, so that the gateway asked nobody else while its right ran out.

Change: what was asked in vain drops the connection; one thread writes, one file after the other; a label takes no work of a lapsed document.

--- a/latchspoke/net/rules.py
+++ b/latchspoke/net/rules.py
@@ -14,6 +14,7 @@
 import secrets
 import time
 from collections.abc import Callable, Container
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from typing import Any, cast
 
@@ -32,7 +33,7 @@
     DocumentError,
     Scalar,
 )
-from latchspoke.revisions.rights import REFUSE, Acting, Fetch, Rights
+from latchspoke.revisions.rights import REFUSE, Acting, Fetch, Known, Rights, dump
 
 log = logging.getLogger(__name__)
 
@@ -121,6 +122,7 @@
         self.whole: set[tuple[str, int]] = set()  # contents that are to be fetched by parts
         self.then: Callable[[Any], None] = lambda told: None
         self.stopped = self.begun = False
+        self.writer = ThreadPoolExecutor(1)  # starts no thread before it is used
 
     @property
     def lapse_at(self) -> float:
@@ -164,10 +166,9 @@
             log.warning("%s can't be used: %s", path, e)
 
     def keep(self) -> None:
-        """Whole or not at all; beside the loop, as a list may be long."""
+        """Whole or not at all; one after the other beside the loop, as a list may be long."""
         if self.told.kept:
-            data = json.dumps(self.rights.dump())
-            self.loop.run_in_executor(None, write, self.told.kept, data)
+            self.loop.run_in_executor(self.writer, write, self.told.kept, self.rights.acted_on())
 
     # Asking.
 
@@ -210,22 +211,21 @@
 
     def lost(self, connection: MemberConnection) -> None:
         if connection is self.connection:
-            self.connection = None
             self.in_vain(self.asked)
 
     def overdue(self, number: int) -> None:
         """Its connection may have ended before it was here, which nobody would tell again."""
-        if number == self.asked:
-            connection, self.connection = self.connection, None
-            if connection is not None:
-                connection.end()
-            self.in_vain(number)
+        self.in_vain(number)
 
     def in_vain(self, number: int) -> None:
         """Somebody else is asked, a little later."""
         if number != self.asked:
             return
         self.asked += 1
+        # Also one that answers, but knows nothing: another member may hear the leader.
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.end()
         self.fetching.clear()
         if self.current is not None:
             # Not there as a change, or damaged: next time by those parts of it that differ.
@@ -305,7 +305,7 @@
     def label(self) -> str:
         """Of what is acted on: plans:3,blocked:7-refuse."""
         now = self.clock()
-        return ",".join(f"{name}:{self.rights.acting(name, now)}" for name in sorted(self.rights.known))
+        return ",".join(f"{name}:{self.rights.label(name, now)}" for name in sorted(self.rights.known))
 
     def lapse(self) -> None:
         """From the moment at which a right ends; also after this process stood still for any time."""
@@ -333,7 +333,7 @@
         now = self.clock()
         return {
             name: {
-                "acting": str(self.rights.acting(name, now)),
+                "acting": self.rights.label(name, now),
                 "right_for": round(max(one.until - now, 0.0), 3),
                 "at_hand": sorted(one.at_hand),
                 "lacks": sorted(one.wanted),
@@ -374,7 +374,8 @@
     return made
 
 
-def write(path: str, data: str) -> None:
+def write(path: str, acted_on: dict[str, Known]) -> None:
+    data = json.dumps(dump(acted_on))
     try:
         with open(f"{path}.new", "w", encoding="utf-8") as file:
             file.write(data)
--- a/latchspoke/revisions/rights.py
+++ b/latchspoke/revisions/rights.py
@@ -20,6 +20,8 @@
 KEPT_MOST = 4  # versions of a document at hand
 LENGTH = 10.0  # s; until a member has said how long rights last
 
+EMPTY_DOCUMENT = Document()
+
 
 @dataclass(frozen=True, slots=True)
 class Acting:
@@ -163,19 +165,23 @@
         """Whether anything is known of an earlier run."""
         return any(one.acting for one in self.known.values())
 
+    def label(self, name: str, now: float) -> str:
+        """As ``acting`` in words, without the work of what a lapsed document comes to."""
+        one = self.known[name]
+        return str(Acting(one.acting, EMPTY_DOCUMENT, "" if now < one.until else one.lapse))
+
     def ready(self, now: float) -> bool:
         """Whether this gateway may begin: members have answered, and it may act by every document."""
         return self.joined and all(now < one.until for one in self.known.values())
 
     # What outlives this process.
 
-    def dump(self) -> dict[str, Any]:
-        """What was last acted on, for a start at which no member is heard."""
+    def acted_on(self) -> dict[str, Known]:
+        """What was last acted on, for a start at which no member is heard; see ``dump``."""
         return {
-            name: {
-                "version": one.acting, "lapse": one.lapse, "least": one.least,
-                "entries": dict(one.at_hand.get(one.acting, Document()).items()),
-            }
+            name: Known(
+                one.acting, at_hand={one.acting: one.at_hand[one.acting]}, lapse=one.lapse, least=one.least
+            )
             for name, one in self.known.items() if one.acting
         }  # fmt: skip
 
@@ -191,3 +197,14 @@
         except (KeyError, TypeError, ValueError, AttributeError) as e:
             raise DocumentError(f"the rules last known can't be read: {e!r}") from None
         self.known |= found
+
+
+def dump(acted_on: Mapping[str, Known]) -> dict[str, Any]:
+    """As ``Rights.load`` reads it."""
+    return {
+        name: {
+            "version": one.acting, "lapse": one.lapse, "least": one.least,
+            "entries": dict(one.at_hand[one.acting].items()),
+        }
+        for name, one in acted_on.items()
+    }  # fmt: skip
--- a/tests/revisions/test_follower.py
+++ b/tests/revisions/test_follower.py
@@ -164,3 +164,19 @@
         assert "blocked:1-refuse" in gate.follower.epoch.label and "c2" in gate.given[-1].blocked
 
     play(tmp_path, test)
+
+
+def test_an_agent_that_answers_but_hears_no_leader_is_left_for_another(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with Played(tmp_path / "a.sock") as one, Played(tmp_path / "b.sock") as two:
+            one.status = 503
+            two.put(BLOCKED, c1="by order")
+            gate = Gate(one.path, two.path)
+            await gate.acts("aside:0,blocked:1,plans:0")
+            two.status, one.status = 503, 200
+            one.put(BLOCKED, c1="by order")
+            one.put(BLOCKED, c2="by order")
+            await gate.acts("aside:0,blocked:2,plans:0")
+            gate.follower.stop()
+
+    asyncio.run(run())
--- a/tests/revisions/test_revisions.py
+++ b/tests/revisions/test_revisions.py
@@ -13,7 +13,7 @@
 from latchspoke.revisions.documents import ASIDE, BLOCKED, FIGURES, Document, DocumentError, made_of
 from latchspoke.revisions.machine import RulesMachine, assemble
 from latchspoke.revisions.records import Activate, FetchRules, PutRules, RulesQuestion, Terms
-from latchspoke.revisions.rights import Rights
+from latchspoke.revisions.rights import Rights, dump
 
 DRIFT = 0.05
 LENGTH = 10.0
@@ -142,7 +142,7 @@
     rights.question(0.0)
     rights.answered(told(rights, 1, (1, FIVE), lapse="refuse"), 0.1)
     again = Rights("g1", "b")
-    again.load(json.loads(json.dumps(rights.dump())))
+    again.load(json.loads(json.dumps(dump(rights.acted_on()))))
     assert not again.ready(0.2) and again.acting(FIGURES, 0.2).lapsed == "refuse"
     with pytest.raises(DocumentError, match="can't be read"):
         again.load({FIGURES: {"version": "x"}})
