--- a/latchspoke/agent/ledger.py
+++ b/latchspoke/agent/ledger.py
@@ -49,8 +49,9 @@
 class Ledger:
     """One open file. Its calls may come from any thread, one at a time."""
 
-    def __init__(self, path: Path) -> None:
-        self.path, self.note = path, path.with_suffix(".start")
+    def __init__(self, path: Path, alone: bool = False) -> None:
+        """``alone``: no other process opens the file, so no memory is shared by way of a mapped one."""
+        self.path, self.note, self.alone = path, path.with_suffix(".start"), alone
         with told(path):
             self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
             try:
@@ -60,6 +61,9 @@
                 raise
 
     def prepare(self) -> None:
+        if self.alone:
+            for pragma in ("locking_mode = EXCLUSIVE", "mmap_size = 0", "temp_store = MEMORY"):
+                self.db.execute(f"PRAGMA {pragma}")
         self.db.execute("PRAGMA journal_mode = WAL")
         self.db.execute("PRAGMA synchronous = FULL")
         (layout,) = self.db.execute("PRAGMA user_version").fetchone()
@@ -68,16 +72,19 @@
         (sound,) = self.db.execute("PRAGMA quick_check(1)").fetchone()
         if sound != "ok":
             raise LedgerError(f"{self.path} is damaged: {sound}")
+        names = {row[0] for row in self.db.execute("SELECT name FROM sqlite_master WHERE type = 'table'")}
+        if names - {"facts", "entries"}:
+            raise LedgerError(f"{self.path} is no ledger: its tables are {', '.join(sorted(names))}")
         self.db.executescript(TABLES)
         self.db.execute(f"PRAGMA user_version = {LAYOUT}")
 
     def close(self) -> None:
         self.db.close()
 
-    def start(self, name: str, draw: str, founder: bool) -> Stored:
-        """Count a start and give all there is; a new store gets its identity, a founder's votes alone.
+    def start(self, name: str, draw: str, founder: bool, first: Snapshot | None = None) -> Stored:
+        """Count a start and give all there is; a new store gets its identity, and a founder's ``first``.
 
-        Raises LedgerError.
+        Without ``first`` a founder votes alone. Raises LedgerError.
         """
         with told(self.path):
             body = self.fact("start")
@@ -89,7 +96,7 @@
             with self.transaction():
                 self.put("start", new)
                 if not old.boot and founder:
-                    self.put("snapshot", Snapshot(members=Members((new.identity,))))
+                    self.put("snapshot", first or Snapshot(members=Members((new.identity,))))
             self.write_note(new)
             return self.read(new)
 
--- a/latchspoke/consensus/member.py
+++ b/latchspoke/consensus/member.py
@@ -37,8 +37,11 @@
     Yield,
 )
 
+EARLY = 5.0  # elections; for so long after a start without a leader trials are made anew after ``first``
+EARLY_STEP = 0.4  # of ``first``, between two who stand: 40 ms, twice the longest way that is known
 HELLO_EVERY = 0.5  # elections; a member that has just started asks again for later starts of it
 BATCH_MOST = 256  # entries of one message
+BATCH_BYTES = 1_000_000  # of their bodies; a single entry may be larger
 
 
 class Role(Enum):
@@ -67,6 +70,8 @@
 
     beat: float = 0.1
     election: float = 1.0
+    first: float = 0.0  # in place of ``election`` right after a start; 0: no other
+    hasten: bool = False  # tell the others at once what is committed, rather than with the next beat
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +145,7 @@
         self.turn = 0
         self.beat_at = 0.0
         self.asked: list[Read] = []  # reads for the next turn
+        self.patient: list[Read] = []  # those for which no turn is begun early
         self.turns: dict[int, list[Read]] = {}  # reads by the turn that confirms them
         self.output = Output()
         self.unstored = 0
@@ -147,6 +153,8 @@
         if stored.snapshot.index:
             self.output.restore = stored.snapshot
         self.wait(now)
+        self.early_until = now + EARLY * timing.election if timing.first else now
+        self.stand_early(now)
 
     # What others ask.
 
@@ -196,11 +204,14 @@
         self.add_entry(entry, now)
         return entry
 
-    def read(self, ident: int, now: float) -> None:
-        """Comes back in ``confirmed`` with the index that the answer must show, or in ``refused``."""
+    def read(self, ident: int, now: float, patient: bool = False) -> None:
+        """Comes back in ``confirmed`` with the index that the answer must show, or in ``refused``.
+
+        A patient one goes with the next round that is made anyway, within ``timing.beat``.
+        """
         self.must_lead()
-        self.asked.append(Read(ident, max(self.commit, self.elected_index)))
-        if not self.turns:
+        (self.patient if patient else self.asked).append(Read(ident, max(self.commit, self.elected_index)))
+        if not patient and not self.turns:
             self.broadcast(now)
 
     def hand_over(self, now: float) -> str:
@@ -252,6 +263,17 @@
     def wait(self, now: float) -> None:
         self.election_at = now + self.timing.election * (1 + self.draw.random())
 
+    def stand_early(self, now: float, waits: float = 1.0) -> None:
+        """Where all were killed at once nobody leads, and where somebody does, no trial is granted.
+
+        Others may start a little later, so that a first trial fails. All stand in an order that they know, as
+        those who stand within one way of each other share the votes.
+        """
+        if self.leader_at == -math.inf and now < self.early_until:
+            place = sum(name < self.identity for name in self.members.voters)
+            spread = EARLY_STEP * (place + self.draw.random())
+            self.election_at = now + waits * self.timing.first * (1 + spread)
+
     def fresh(self, peer: Peer, now: float) -> bool:
         return now - peer.heard_at < self.timing.election
 
@@ -270,6 +292,7 @@
     def stand(self, now: float) -> None:
         """First ask whether it would be elected: one that was cut off must not drive up the terms."""
         self.wait(now)
+        self.stand_early(now)
         self.leader = ""
         if not self.votes_itself or self.mute:
             self.role = Role.FOLLOWER
@@ -283,6 +306,7 @@
         self.role, self.votes = Role.CANDIDATE, {self.identity}
         self.vow = Vow(self.term + 1, self.identity)
         self.wait(now)
+        self.stand_early(now, 2.0)  # the votes come from as far as the trial's
         self.note("stands", f"term {self.term}")
         for name in self.voters_else():
             self.ask_vote(name, trial=False)
@@ -305,7 +329,7 @@
     def lead(self, now: float) -> None:
         self.role, self.leader, self.elected_at = Role.LEADER, self.identity, now
         self.peers = {name: Peer(self.log.last + 1, now) for name in self.others()}
-        self.asked, self.turns = [], {}
+        self.asked, self.patient, self.turns = [], [], {}
         self.note("leads", f"term {self.term}")
         self.elected_index = self.log.last + 1
         # Entries of former terms are committed with this one, and never by their count alone.
@@ -347,9 +371,9 @@
             self.vow = Vow(term)
         if self.role is Role.LEADER:
             self.note("steps-back", f"term {self.term}")
-            reads = [read for turn in self.turns.values() for read in turn] + self.asked
+            reads = [read for turn in self.turns.values() for read in turn] + self.asked + self.patient
             self.output.refused += [read.ident for read in reads]
-            self.asked, self.turns, self.peers = [], {}, {}
+            self.asked, self.patient, self.turns, self.peers = [], [], {}, {}
         if leader and leader != self.leader:
             self.note("follows", f"{leader}, term {self.term}")
         self.role, self.leader = Role.FOLLOWER, leader
@@ -484,8 +508,8 @@
         """A turn: to every peer what it lacks, or a heartbeat."""
         self.turn += 1
         self.beat_at = now + self.timing.beat
-        if self.asked:
-            self.turns[self.turn], self.asked = self.asked, []
+        if self.asked or self.patient:
+            self.turns[self.turn], self.asked, self.patient = self.asked + self.patient, [], []
         for name, peer in self.peers.items():
             self.send(name, peer, now)
         self.confirm_reads()
@@ -499,7 +523,7 @@
             # Meanwhile it is told at least that this leader lives; it can't fit, and says so.
             self.say_append(name, self.log.snapshot.index, (), 0)
             return
-        entries = self.log.between(peer.next, self.log.last, BATCH_MOST)
+        entries = batch(self.log.between(peer.next, self.log.last, BATCH_MOST))
         self.say_append(name, peer.next - 1, entries, self.commit)
         peer.next += len(entries)
 
@@ -551,6 +575,8 @@
                 self.note("removed")
                 self.broadcast(now)
                 self.follow("", now)
+            elif self.timing.hasten:
+                self.broadcast(now)
 
     def confirm_reads(self) -> None:
         """Reads whose turn a majority has answered, once this leader knows all that was committed."""
@@ -570,7 +596,8 @@
         if self.log.members_index() <= self.commit:
             learners = tuple(n for n in members.learners if n != name)
             self.note("promoted", name)
-            self.change(Members((*members.voters, name), learners, members.former), now)
+            voters = (*members.voters, name)
+            self.change(Members(voters, learners, members.former, members.guests), now)
 
     # Small parts.
 
@@ -590,6 +617,16 @@
         self.output.notes.append(Note(code, detail))
 
 
+def batch(entries: tuple[Entry, ...]) -> tuple[Entry, ...]:
+    """The first of these, as many as one message may hold."""
+    size = 0
+    for place, entry in enumerate(entries):
+        size += len(entry.body)
+        if size > BATCH_BYTES:
+            return entries[: max(place, 1)]
+    return entries
+
+
 HANDLERS: dict[type, Callable[[Member, Message, float], None]] = {
     AskVote: Member.on_ask_vote,  # type: ignore[dict-item]
     GiveVote: Member.on_give_vote,  # type: ignore[dict-item]
--- a/latchspoke/consensus/records.py
+++ b/latchspoke/consensus/records.py
@@ -36,15 +36,17 @@
     """Those who vote, and those who only follow until they have caught up; by identity.
 
     ``former`` are names that an operator has taken out: they come in again only by an operator's word.
+    ``guests`` follow like learners and are never made voters by themselves.
     """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
     former: tuple[str, ...] = ()
+    guests: tuple[str, ...] = ()
 
     @property
     def all(self) -> tuple[str, ...]:
-        return self.voters + self.learners
+        return self.voters + self.learners + self.guests
 
     @property
     def majority(self) -> int:
--- /dev/null
+++ b/latchspoke/interlocking/copies.py
@@ -0,0 +1,88 @@
+"""Copies of the operator's word, to begin a system anew from when a majority of its disks is lost. Pure.
+
+A copy is no copy of a disk. A member's disk also holds what that member has promised in votes, and one put
+back from an older state would break its promises: the ledger refuses it. A copy holds what the committed
+orders have made, which is all that a system needs, and new members begin from it.
+
+Gateways go by places in the log and never go back. A system begun anew may lack the last changes, so its
+places must lie above any that the lost one ever told: each beginning starts a new block of 2**32.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgspec
+
+from latchspoke.consensus.records import Members, Snapshot
+from latchspoke.interlocking.orders import IMAGE, Image, Orders
+
+KIND = "latchspoke register copy"
+LAYOUT = 1
+BLOCK = 1 << 32  # places of a beginning
+
+
+class CopyError(Exception):
+    """No copy, a damaged one, or one of another program; one line says why."""
+
+
+class Copy(msgspec.Struct, frozen=True):
+    """What the file holds. It has the tenants' keys in it: only its owner may read it."""
+
+    kind: str
+    layout: int
+    taken_by: str
+    applied: int  # place up to which all is in it
+    digest: str
+    orders: Image
+
+
+def digest_of(orders: Image) -> str:
+    return blake2b(msgspec.json.encode(orders), digest_size=16).hexdigest()
+
+
+def take(orders: Orders, applied: int, taken_by: str) -> Copy:
+    image = IMAGE.decode(orders.dump())
+    return Copy(KIND, LAYOUT, taken_by, applied, digest_of(image), image)
+
+
+def write(copy: Copy) -> bytes:
+    return msgspec.json.encode(copy) + b"\n"
+
+
+def read(data: bytes, path: str) -> Copy:
+    """Raises CopyError."""
+    try:
+        copy: Copy = msgspec.json.decode(data, type=Copy)
+    except msgspec.MsgspecError as e:
+        raise CopyError(f"{path} is no whole copy: {e}") from None
+    if copy.kind != KIND:
+        raise CopyError(f"{path} is no copy of a register, but {copy.kind[:60]!r}")
+    if copy.layout != LAYOUT:
+        raise CopyError(f"{path}: its layout is {copy.layout}, this program knows {LAYOUT}")
+    if copy.digest != digest_of(copy.orders):
+        raise CopyError(f"{path} is damaged: its digest is another")
+    return copy
+
+
+@dataclass(frozen=True, slots=True)
+class Beginning:
+    """What each founder's new disk holds."""
+
+    draw: str  # of the founders' identities
+    snapshot: Snapshot
+
+
+def begin_anew(copy: Copy, founders: Collection[str]) -> Beginning:
+    """The same for all who are given the same copy and the same founders (inner addresses "ip:port")."""
+    names = tuple(sorted(set(founders)))
+    token = blake2b("\n".join((copy.digest, *names)).encode(), digest_size=4).hexdigest()
+    index = (max(copy.applied, copy.orders.index) // BLOCK + 1) * BLOCK
+    orders = msgspec.structs.replace(
+        copy.orders, index=index, zones={zone: (index, out) for zone, (_, out) in copy.orders.zones.items()}
+    )
+    draw = f"r-{token}"
+    members = Members(tuple(f"{name}#{draw}" for name in names))
+    return Beginning(draw, Snapshot(index, 0, members, msgspec.json.encode(orders)))
--- /dev/null
+++ b/latchspoke/interlocking/register.py
@@ -0,0 +1,563 @@
+"""One process's part in the register: a member of the log, the orders on it, and who takes part.
+
+Pure. Messages, calls and the time (monotonic, s) go in; out come what to store, what to send to which name,
+and answers to callers. The driver's turn: ``take`` until it gives None; each time store and sync what is to
+be stored, then ``stored``, then send ``outbox`` and hand on ``answers``.
+
+A process is named by its inner address, "ip:port". Its identity is that name and a draw, made when its disk
+was empty: "first" for the founders, "v-..." for one that came with the whole system's first start, "g-..."
+for any other. The leader takes in whoever knocks. One with the name of a present member has lost its disk and
+comes in its place, first as a learner. A new name begun later is a guest: it follows, and votes only where
+the voters would else be even in number, or one of them has long been gone.
+
+Between processes go objects by their "k": "raft" (a message of the log's), "ask" a command and "told" its
+verdict or "no", "prove" and "proof" for confirms, "knock" and "leads".
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from latchspoke.consensus.member import ChangeError, Member, NotLeaderError, Output, Role, Timing
+from latchspoke.consensus.records import Entry, Kind, Members, Snapshot, Stored, Wire, name_of
+from latchspoke.interlocking.orders import STALE, UNKNOWN, Command, Orders, Patch, Verdict
+
+TIMING = Timing(beat=0.15, election=0.6, first=0.1, hasten=True)
+AGAIN = 0.3  # s after which a question without an answer is asked anew
+PAUSE = 0.05  # s after a refusal before the next try
+KNOCK = 0.3  # s between knocks of one that is not taken in
+SILENCE = 1.2  # s without a leader, after which a member knocks too: it may have been taken out unheard
+HOPELESS = 0.2  # s that a call waits, at most, where no leader has been known for so long
+WISH = 1.0  # s that a knock is good for
+GONE = 15.0  # s without life before a guest may take a voter's place, and before others are dropped
+COMPACT_ENTRIES = 50
+COMPACT_BYTES = 4_000_000
+
+Sent = tuple[str, dict[str, Any]]
+Answer = Verdict | int | None  # to a submit, and to a confirm
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's command that waits for its verdict."""
+
+    command: Command
+    until: float
+    to: str = ""  # the leader it was sent to, '' if it is to be sent
+    sent_at: float = -math.inf
+    hold: int = 0  # all up to here must be applied before it is sent
+
+
+@dataclass(slots=True)
+class Proof:
+    """A question to the leader for a batch of callers."""
+
+    number: int
+    tickets: list[int]
+    to: str
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Wish:
+    """Somebody knocks."""
+
+    identity: str
+    until: float
+
+
+@dataclass(slots=True)
+class Placed:
+    """A command that this member proposed as leader."""
+
+    term: int
+    name: str
+    number: int
+
+
+@dataclass(slots=True)
+class Waits:
+    """Tickets of confirms, until the index is applied here."""
+
+    index: int
+    tickets: list[int] = field(default_factory=list)
+
+
+def founding(founders: Collection[str], orders: Orders) -> Snapshot:
+    """What every founder's disk begins with; it stands at index 1, so that others are sent it."""
+    return Snapshot(1, 0, Members(tuple(f"{name}#first" for name in sorted(founders))), orders.dump())
+
+
+def draw_of(me: str, founders: Collection[str], first: bool, token: str) -> str:
+    """The draw of a new identity; ``token`` is random."""
+    if first:
+        return "first" if me in founders else f"v-{token}"
+    return f"g-{token}"
+
+
+class Register:
+    """See the module."""
+
+    def __init__(
+        self,
+        stored: Stored,
+        seeds: Collection[str],
+        apply_patch: Patch,
+        draw: random.Random,
+        now: float,
+        timing: Timing = TIMING,
+    ) -> None:
+        self.now = now
+        self.member = Member(stored, timing, draw, now)
+        self.me = name_of(stored.identity)
+        self.seeds = tuple(seeds)
+        self.orders = Orders(apply_patch)
+        self.applied = stored.snapshot.index
+        self.alive: set[str] = set()
+        self.outbox: list[Sent] = []
+        self.answers: list[tuple[int, Answer]] = []
+        self.changed = False  # the orders did, since the driver last looked
+        self.proven = False  # whether a confirm has ever come back to this process
+        # Numbers begin by chance: those of an earlier life of this process may still be under way.
+        self.number = draw.getrandbits(48)
+        self.calls: dict[int, Call] = {}
+        self.proof: Proof | None = None
+        self.tickets: dict[int, float] = {}  # confirms and their limits
+        self.queue: list[int] = []  # for the next proof
+        self.prove_at = -math.inf
+        self.urgent: set[int] = set()  # tickets that don't wait for the leader's next beat
+        self.waits: list[Waits] = []
+        self.placed: dict[int, Placed] = {}  # by index
+        self.at_work: set[tuple[str, int]] = set()
+        self.reads: dict[int, tuple[str, int]] = {}
+        self.wishes: dict[str, Wish] = {}
+        self.seen: dict[str, float] = {}  # when a member's process was last known to live; the leader's
+        self.led_term = 0
+        self.knock_at = now
+        self.led_at = now  # when a leader was last known
+        self.hint = ""  # who leads, by hearsay
+        self.bytes = sum(len(entry.body) for entry in stored.entries)
+        self.looked = ""  # the leader, when ``heed`` last looked
+        self.leaving = False
+
+    # Who leads, and who takes part.
+
+    @property
+    def admitted(self) -> bool:
+        return self.member.identity in self.member.members.all
+
+    @property
+    def leader(self) -> str:
+        """An identity, or ''."""
+        return self.member.leader if self.admitted else self.member.leader or self.hint
+
+    @property
+    def leads(self) -> bool:
+        return self.member.role is Role.LEADER
+
+    @property
+    def lost(self) -> bool:
+        """Whether no leader has been known for long."""
+        return not self.leader and self.now - self.led_at >= SILENCE
+
+    def due(self) -> float:
+        """When ``tick`` is next wanted."""
+        times = [self.member.due()]
+        times += [call.until for call in self.calls.values()]
+        times += self.tickets.values()
+        if self.leader:
+            times += [c.sent_at + (AGAIN if c.to else PAUSE) for c in self.calls.values() if self.ready(c)]
+            if self.proof is not None:
+                times.append(self.proof.sent_at + AGAIN)
+            elif self.queue and self.admitted:
+                times.append(self.prove_at)
+        if self.member.role is not Role.HALTED:
+            if not self.admitted:
+                times.append(self.knock_at)
+            elif not self.member.leader:
+                times.append(max(self.knock_at, self.led_at + SILENCE))
+        return min(times)
+
+    # Inputs.
+
+    def tick(self, now: float) -> None:
+        self.now = now
+        self.member.tick(now)
+        for number in [n for n, call in self.calls.items() if now >= call.until]:
+            del self.calls[number]
+            self.answers.append((number, Verdict(UNKNOWN, "no answer in time", self.orders.version)))
+        for ticket in [t for t, until in self.tickets.items() if now >= until]:
+            self.settle(ticket, None)
+        self.knock()
+        self.steward()
+        self.push()
+
+    def submit(self, command: Command, limit: float, now: float) -> int:
+        """The number of the verdict in ``answers``, which comes within ``limit`` (s)."""
+        self.now = now
+        self.number += 1
+        number = self.number
+        self.calls[number] = Call(command, now + (min(limit, HOPELESS) if self.lost else limit))
+        self.push()
+        return number
+
+    def confirm(self, limit: float, now: float, patient: bool = False) -> int:
+        """The number of the index in ``answers``: all that was acknowledged before now is applied here.
+
+        None where no majority says so within ``limit`` (s). A patient one costs no messages of its own
+        between the leader and the others: it goes with the next beat.
+        """
+        self.now = now
+        self.number += 1
+        ticket = self.number
+        if not patient:
+            self.urgent.add(ticket)
+        self.tickets[ticket] = now + (min(limit, HOPELESS) if self.lost else limit)
+        self.queue.append(ticket)
+        self.push()
+        return ticket
+
+    def peers(self, names: Collection[str], now: float) -> None:
+        """The processes of the core that are alive, by name."""
+        self.now = now
+        self.alive = set(names) - {self.me}
+
+    def leave(self, now: float) -> bool:
+        """Hand over the lead; whether there was one to hand over, and somebody to take it."""
+        self.now, self.leaving = now, True
+        return self.leads and bool(self.member.hand_over(now))
+
+    def give_up(self) -> None:
+        """The disk refuses: nothing is known of what waits here."""
+        for number in self.calls:
+            self.answers.append((number, Verdict(UNKNOWN, "the disk refuses", self.orders.version)))
+        self.calls.clear()
+        for ticket in list(self.tickets):
+            self.settle(ticket, None)
+
+    def heard(self, name: str, message: dict[str, Any], now: float) -> None:
+        """From a process. What can't be read is dropped."""
+        self.now = now
+        try:
+            deed = self.read(name, message)
+        except (KeyError, TypeError, ValueError):  # msgspec's errors are ValueErrors
+            return
+        deed()
+        self.push()
+
+    def read(self, name: str, message: dict[str, Any]) -> Callable[[], None]:
+        """What a message wants done. Raises KeyError, TypeError, ValueError."""
+        match message["k"]:
+            case "raft":
+                said: Wire = msgspec.convert(message["m"], Wire)
+                return lambda: self.member.receive(said, self.now)
+            case "knock":
+                return partial(self.on_knock, name, str(message["who"]))
+            case "leads":
+                return partial(self.on_leads, str(message["who"]))
+            case "ask":
+                return partial(self.on_ask, name, int(message["n"]), message["c"])
+            case "prove":
+                return partial(self.on_prove, name, int(message["n"]), bool(message.get("p", 0)))
+        return self.read_reply(message)
+
+    def read_reply(self, message: dict[str, Any]) -> Callable[[], None]:
+        number = int(message["n"])
+        match message["k"]:
+            case "told":
+                return partial(self.on_told, number, msgspec.convert(message["v"], Verdict))
+            case "no":
+                return partial(self.on_no, number)
+            case "proof":
+                return partial(self.on_proof, number, int(message["i"]))
+        raise ValueError(message["k"])
+
+    # The driver's turn.
+
+    def take(self) -> Output | None:
+        """None where there is nothing to do."""
+        output = self.member.take()
+        idle = not (
+            output.to_store or output.messages or output.restore or output.committed or output.confirmed
+            or output.refused or output.notes
+        )  # fmt: skip
+        return None if idle else output
+
+    def stored(self, output: Output, now: float) -> None:
+        """What was to be stored is synced: the rest of it takes effect."""
+        self.now = now
+        self.bytes += sum(len(entry.body) for entry in output.entries)
+        for message in output.messages:
+            body = {"k": "raft", "m": msgspec.to_builtins(message)}
+            self.outbox.append((name_of(message.target), body))
+        if output.restore is not None:
+            self.restore(output.restore)
+        for entry in output.committed:
+            self.carry_out(entry)
+        for ident, index in output.confirmed:
+            self.say_proof(ident, index)
+        for ident in output.refused:
+            self.say_proof(ident, -1)
+        if not self.leads:
+            while self.placed:
+                self.let_go(self.placed.popitem()[1])
+        if output.committed and self.leads:
+            # The others needn't wait for the next beat to learn what is committed.
+            self.member.broadcast(now)
+        self.release()
+        self.steward()
+        self.push()
+
+    def compacted(self) -> Snapshot | None:
+        """A snapshot to store in the place of the entries it covers, if it is time."""
+        covered = self.applied - self.member.log.snapshot.index
+        if covered < COMPACT_ENTRIES and (not covered or self.bytes < COMPACT_BYTES):
+            return None
+        snapshot = self.member.compact(self.applied, self.orders.dump())
+        self.bytes = sum(len(entry.body) for entry in self.member.log.entries)
+        return snapshot
+
+    def restore(self, snapshot: Snapshot) -> None:
+        self.orders.load(snapshot.body)
+        self.applied, self.changed = snapshot.index, True
+        self.bytes = sum(len(entry.body) for entry in self.member.log.entries)
+        for index in [i for i in self.placed if i <= snapshot.index]:
+            self.let_go(self.placed.pop(index))
+
+    def carry_out(self, entry: Entry) -> None:
+        verdict, before = None, self.orders.index
+        if entry.kind is Kind.DATA:
+            verdict = self.orders.apply(entry.index, msgspec.json.decode(entry.body))
+            self.changed |= self.orders.index != before
+        self.applied = entry.index
+        placed = self.placed.pop(entry.index, None)
+        if placed is None:
+            return
+        if verdict is None or placed.term != entry.term:
+            self.let_go(placed)
+            return
+        self.at_work.discard((placed.name, placed.number))
+        self.reply(placed.name, {"k": "told", "n": placed.number, "v": msgspec.to_builtins(verdict)})
+
+    def let_go(self, placed: Placed) -> None:
+        """Nothing is known of it here any more; its sender asks the next leader."""
+        self.at_work.discard((placed.name, placed.number))
+        self.reply(placed.name, {"k": "no", "n": placed.number})
+
+    def release(self) -> None:
+        """Confirms whose index is applied."""
+        done = [wait for wait in self.waits if wait.index <= self.applied]
+        if done:
+            self.waits = [wait for wait in self.waits if wait.index > self.applied]
+            for ticket in [ticket for wait in done for ticket in wait.tickets]:
+                self.proven |= ticket in self.tickets
+                self.settle(ticket, self.applied)
+
+    # Commands, at the process that was asked.
+
+    def ready(self, call: Call) -> bool:
+        return call.hold <= self.applied
+
+    def push(self) -> None:
+        """Send what waits for a leader, or for a better one."""
+        leader, now = self.leader, self.now
+        if leader != self.looked:
+            self.looked = leader
+            for call in self.calls.values():
+                call.to, call.sent_at = "", -math.inf
+            self.prove_at = -math.inf
+        if not leader:
+            return
+        self.led_at = now
+        for number, call in list(self.calls.items()):
+            if self.ready(call) and now >= call.sent_at + (AGAIN if call.to else PAUSE):
+                call.to, call.sent_at = leader, now
+                command = call.command
+                if command.get("do") in ("evacuate", "restore"):
+                    command = {**command, "after": self.applied}
+                self.reply(name_of(leader), {"k": "ask", "n": number, "c": command})
+        self.prove(leader)
+
+    def on_told(self, number: int, verdict: Verdict) -> None:
+        call = self.calls.get(number)
+        if call is None:
+            return
+        if verdict.kind == STALE:
+            call.to, call.sent_at, call.hold = "", -math.inf, verdict.index
+            return
+        del self.calls[number]
+        self.answers.append((number, verdict))
+
+    def on_no(self, number: int) -> None:
+        call = self.calls.get(number)
+        if call is not None:
+            call.to, call.sent_at = "", self.now
+
+    # Proofs, at the process that was asked.
+
+    def prove(self, leader: str) -> None:
+        proof, now = self.proof, self.now
+        if proof is not None:
+            if proof.to == leader and now < proof.sent_at + AGAIN:
+                return
+            # Whoever waited begins anew: a later proof is as good for an earlier call.
+            self.queue, self.proof = proof.tickets + self.queue, None
+        self.queue = [ticket for ticket in self.queue if ticket in self.tickets]
+        if not self.queue or now < self.prove_at or not self.admitted:
+            return
+        self.number += 1
+        patient = self.urgent.isdisjoint(self.queue)
+        self.proof, self.queue = Proof(self.number, self.queue, leader, now), []
+        self.reply(name_of(leader), {"k": "prove", "n": self.number, "p": int(patient)})
+
+    def on_proof(self, number: int, index: int) -> None:
+        if self.proof is None or self.proof.number != number:
+            return
+        tickets, self.proof = self.proof.tickets, None
+        if index < 0:
+            self.queue, self.prove_at = tickets + self.queue, self.now + PAUSE
+            return
+        self.waits.append(Waits(index, tickets))
+        self.release()
+
+    def settle(self, ticket: int, index: int | None) -> None:
+        self.urgent.discard(ticket)
+        if self.tickets.pop(ticket, None) is not None:
+            self.answers.append((ticket, index))
+
+    # The leader's part.
+
+    def reply(self, name: str, message: dict[str, Any]) -> None:
+        """To a process, which may be this one."""
+        if name == self.me:
+            self.read(name, message)()
+        else:
+            self.outbox.append((name, message))
+
+    def on_ask(self, name: str, number: int, command: Command) -> None:
+        if (name, number) in self.at_work:
+            return
+        try:
+            if self.leaving:
+                raise NotLeaderError("")
+            entry = self.member.propose(msgspec.json.encode(command), self.now)
+        except NotLeaderError:
+            self.reply(name, {"k": "no", "n": number})
+            return
+        self.at_work.add((name, number))
+        old = self.placed.pop(entry.index, None)
+        if old is not None:
+            self.let_go(old)
+        self.placed[entry.index] = Placed(entry.term, name, number)
+
+    def on_prove(self, name: str, number: int, patient: bool = False) -> None:
+        self.number += 1
+        ident = self.number
+        self.reads[ident] = name, number
+        try:
+            self.member.read(ident, self.now, patient)
+        except NotLeaderError:
+            self.say_proof(ident, -1)
+
+    def say_proof(self, ident: int, index: int) -> None:
+        name, number = self.reads.pop(ident)
+        self.reply(name, {"k": "proof", "n": number, "i": index})
+
+    # Who takes part.
+
+    def knock(self) -> None:
+        """Ask to be taken in; a member without a leader too, for it may be out without knowing."""
+        now, wanted = self.now, self.lost if self.admitted else True
+        if now < self.knock_at or not wanted or self.member.role is Role.HALTED:
+            return
+        self.knock_at = now + KNOCK
+        for name in sorted({*self.alive, *self.seeds} - {self.me}):
+            self.outbox.append((name, {"k": "knock", "who": self.member.identity}))
+
+    def on_knock(self, name: str, identity: str) -> None:
+        if name_of(identity) != name or name == self.me:
+            return
+        if self.leads:
+            self.wishes[name] = Wish(identity, self.now + WISH)
+            self.steward()
+        if self.member.leader:
+            self.outbox.append((name, {"k": "leads", "who": self.member.leader}))
+
+    def on_leads(self, who: str) -> None:
+        self.hint = who
+
+    def steward(self) -> None:
+        """The leader's word on who takes part, one step at a time."""
+        member = self.member
+        if not member.settled or member.log.members_index() > member.commit:
+            return
+        if self.led_term != member.term:
+            # Nobody is gone for long as far as a new leader knows.
+            self.led_term, self.seen = member.term, {}
+        wanted = self.welcome() or self.mend()
+        if wanted is not None:
+            with contextlib.suppress(ChangeError):
+                member.change(wanted, self.now)
+
+    def welcome(self) -> Members | None:
+        """Whoever knocks and is no member."""
+        old = self.member.members
+        for name, wish in list(self.wishes.items()):
+            if self.now >= wish.until or wish.identity in old.all:
+                del self.wishes[name]
+                continue
+            before = [identity for identity in old.all if name_of(identity) == name]
+            votes = any(identity in old.voters + old.learners for identity in before)
+            votes |= not before and "#v-" in wish.identity and name not in old.former
+            rest, identity = without(old, before), (wish.identity,)
+            if votes:
+                return msgspec.structs.replace(rest, learners=rest.learners + identity)
+            return msgspec.structs.replace(rest, guests=rest.guests + identity)
+        return None
+
+    def mend(self) -> Members | None:
+        """A guest for an even number of voters or for one long gone; others long gone are dropped."""
+        old, now = self.member.members, self.now
+        for identity in old.all:
+            peer = self.member.peers.get(identity)
+            name = name_of(identity)
+            if name in self.alive or name == self.me or (peer and self.member.fresh(peer, now)):
+                self.seen[name] = now
+            else:
+                self.seen.setdefault(name, now)
+        gone = [identity for identity in old.all if now - self.seen[name_of(identity)] >= GONE]
+        idle = [identity for identity in gone if identity not in old.voters]
+        if idle:
+            return without(old, idle)
+        ready = [identity for identity in old.guests if self.caught_up(identity, now)]
+        if not ready or old.learners:
+            return None
+        if len(old.voters) % 2 == 0:
+            rest = without(old, ready[:1])
+            return msgspec.structs.replace(rest, learners=(ready[0],))
+        lost = [identity for identity in gone if identity in old.voters]
+        if lost:
+            rest = without(old, lost[:1])
+            return msgspec.structs.replace(rest, former=(*old.former, name_of(lost[0])))
+        return None
+
+    def caught_up(self, identity: str, now: float) -> bool:
+        peer = self.member.peers.get(identity)
+        return peer is not None and self.member.fresh(peer, now) and peer.match >= self.member.commit
+
+
+def without(members: Members, those: Collection[str]) -> Members:
+    """At most one voter may be among those."""
+    voters, learners, guests = (
+        tuple(identity for identity in group if identity not in those)
+        for group in (members.voters, members.learners, members.guests)
+    )
+    return Members(voters, learners, members.former, guests)
--- /dev/null
+++ b/latchspoke/telegraph/door.py
@@ -0,0 +1,132 @@
+"""A small HTTP/1.1 server for calls with JSON bodies: readiness, the locator, servers and the operator."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, cast
+
+import httptools
+import msgspec
+
+BODY_MOST = 32 * 1024 * 1024  # bytes
+HEAD_MOST = 32 * 1024
+IDLE = 20.0  # s that a caller may say nothing
+REASONS = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
+    412: b"Precondition Failed", 413: b"Content Too Large", 503: b"Service Unavailable",
+}  # fmt: skip
+
+Answer = tuple[int, Any]
+Handler = Callable[[str, str, bytes], "Answer | Awaitable[Answer]"]
+
+
+class Door(asyncio.Protocol):
+    """One caller's connection. ``handler`` gets method, target and body, and gives status and JSON."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.url = b""
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.task: asyncio.Task[None] | None = None
+        self.queue: list[tuple[str, str, bytes, bool]] = []
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.wait()
+
+    def wait(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.timer = asyncio.get_running_loop().call_later(IDLE, self.transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.answer(400, {"errorText": "no HTTP request"}, False)
+
+    def on_message_begin(self) -> None:
+        self.url, self.parts, self.size = b"", [], 0
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        if len(self.url) > HEAD_MOST:
+            raise ValueError("target too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"expect" and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, part: bytes) -> None:
+        self.size += len(part)
+        if self.size > BODY_MOST:
+            raise ValueError("body too large")
+        self.parts.append(part)
+
+    def on_message_complete(self) -> None:
+        method = self.parser.get_method().decode("latin-1")
+        call = method, self.url.decode("latin-1"), b"".join(self.parts), self.parser.should_keep_alive()
+        self.parts = []
+        if self.task is not None:
+            self.queue.append(call)
+        else:
+            self.call(call)
+
+    def call(self, call: tuple[str, str, bytes, bool]) -> None:
+        method, target, body, keep = call
+        try:
+            given = self.handler(method, target, body)
+        except Exception as e:
+            self.answer(503, {"errorText": f"this call failed: {e!r}"}, False)
+            raise
+        if isinstance(given, tuple):
+            self.answer(*given, keep)
+        else:
+            self.task = asyncio.get_running_loop().create_task(self.later(given, keep))
+
+    async def later(self, given: Awaitable[Answer], keep: bool) -> None:
+        try:
+            status, body = await given
+        except Exception as e:
+            status, body, keep = 503, {"errorText": f"this call failed: {e!r}"}, False
+        self.task = None
+        self.answer(status, body, keep)
+        while self.queue and keep and self.task is None:
+            call = self.queue.pop(0)
+            keep = call[3]
+            self.call(call)
+
+    def answer(self, status: int, body: Any, keep: bool) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        kind = b"application/json"
+        if isinstance(body, str):
+            data, kind = body.encode(), b"text/plain; version=0.0.4"
+        else:
+            data = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
+        self.transport.write(
+            b"HTTP/1.1 %d %b\r\nContent-Type: %b\r\nContent-Length: %d\r\n%b\r\n%b"
+            % (
+                status,
+                REASONS.get(status, b"Status"),
+                kind,
+                len(data),
+                b"" if keep else b"Connection: close\r\n",
+                data,
+            )
+        )
+        if keep:
+            self.wait()
+        else:
+            self.transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        if self.timer is not None:
+            self.timer.cancel()
--- /dev/null
+++ b/latchspoke/telegraph/metrics.py
@@ -0,0 +1,47 @@
+"""Metrics in the text format that Prometheus reads (version 0.0.4)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Literal
+
+Labels = Mapping[str, str]
+ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
+@dataclass(slots=True)
+class Family:
+    """One metric with its samples; ``kind`` as the format names it."""
+
+    name: str
+    text: str
+    kind: Literal["gauge", "counter"] = "gauge"
+    samples: list[tuple[Labels, float]] = field(default_factory=list)
+
+    def add(self, value: float, **labels: str) -> Family:
+        self.samples.append((labels, float(value)))
+        return self
+
+
+def page(families: Iterable[Family]) -> str:
+    """The whole text; a family without samples is left out."""
+    lines: list[str] = []
+    for family in families:
+        if family.samples:
+            lines += [f"# HELP {family.name} {family.text}", f"# TYPE {family.name} {family.kind}"]
+            lines += [f"{family.name}{written(labels)} {figure(value)}" for labels, value in family.samples]
+    return "\n".join(lines) + "\n"
+
+
+def written(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{value.translate(ESCAPES)}"' for name, value in labels.items()) + "}"
+
+
+def figure(value: float) -> str:
+    if math.isinf(value):
+        return "+Inf" if value > 0 else "-Inf"
+    return str(int(value)) if value.is_integer() else repr(value)
--- /dev/null
+++ b/latchspoke/telegraph/wire.py
@@ -0,0 +1,99 @@
+"""Held connections on sockets that carry netstrings of JSON, either way. No decision is made here."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+from latchspoke.telegraph.netstring import FrameError, Frames, frame
+
+Message = dict[str, Any]
+Heard = Callable[["Wire", Message], None]
+Ended = Callable[["Wire", str], None]
+UNREAD_MOST = 8 * 1024 * 1024  # bytes waiting for a peer that doesn't read; it is given up beyond
+SILENT_MS = 2500  # ms that sent bytes may go without an acknowledgement (TCP_USER_TIMEOUT)
+
+
+class Wire(asyncio.Protocol):
+    """One connection. ``heard`` gets each message, ``ended`` the reason, once."""
+
+    def __init__(self, heard: Heard, ended: Ended, begun: Callable[[Wire], None] | None = None) -> None:
+        self.heard, self.ended, self.begun = heard, ended, begun
+        self.transport: asyncio.Transport | None = None
+        self.frames = Frames()
+        self.reason = ""
+        self.over = False
+        self.received = 0  # bytes
+        self.peer = ""
+        self.tag: Any = None  # the owner's own
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info("peername")
+        self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            # A machine without power says nothing: what is sent to it must not wait for minutes.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.begun is not None:
+            self.begun(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.received += len(data)
+        try:
+            messages = self.frames.feed(data)
+        except FrameError as e:
+            self.end(str(e))
+            return
+        for message in messages:
+            if self.over:
+                return
+            if isinstance(message, dict):
+                self.heard(self, message)
+            else:
+                self.end("a message is no object")
+
+    def send(self, message: object) -> bool:
+        """Whether it was taken; what is taken may be lost all the same, if the connection ends."""
+        return self.write(frame(message))
+
+    def write(self, data: bytes) -> bool:
+        """A frame made before, as one that goes to many."""
+        transport = self.transport
+        if transport is None or self.over or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > UNREAD_MOST:
+            self.end("doesn't read")
+            return False
+        transport.write(data)
+        return True
+
+    def end(self, reason: str) -> None:
+        self.reason = self.reason or reason
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.reason = self.reason or (f"lost: {exc}" if exc else "closed by the peer")
+        self.finish()
+
+    def finish(self) -> None:
+        if not self.over:
+            self.over = True
+            self.ended(self, self.reason)
+
+
+async def dial(wire: Wire, host: str, port: int, limit: float) -> bool:
+    """Open it within ``limit`` (s); whether it came up. ``ended`` is told if not."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(limit):
+            await loop.create_connection(lambda: wire, host, port)
+    except (OSError, TimeoutError) as e:
+        wire.reason = wire.reason or f"never came up: {e!r}"
+        wire.finish()
+        return False
+    return True
--- /dev/null
+++ b/tests/telegraph/test_log_loads.py
@@ -0,0 +1,20 @@
+"""What a process loads to write its log: nothing that only prints in colours."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+SCRIPT = """
+import sys
+from latchspoke.telegraph import log
+log.log("serves", zone="a")
+log.open_log(node="n")
+assert not {name.partition(".")[0] for name in sys.modules} & {"rich", "pygments", "colorama"}
+import rich.console  # the command line may still have it
+"""
+
+
+def test_a_log_line_brings_no_colours_with_it() -> None:
+    run = subprocess.run([sys.executable, "-c", SCRIPT], capture_output=True, text=True, check=True)
+    assert "event=serves" in run.stderr and "node=n" in run.stderr
