--- a/latchspoke/lab/loopback/run.py
+++ b/latchspoke/lab/loopback/run.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import time
 from collections.abc import Callable, Iterator
@@ -21,6 +20,7 @@
 from latchspoke.lab.loopback.servers import HOST, World
 from latchspoke.lab.loopback.servers import Work as NodeWork
 from latchspoke.lab.outcome import Outcomes
+from latchspoke.lab.ports import open_port
 from latchspoke.lab.quota import PlanFigures, QuotaJudge, Use
 from latchspoke.traffic.trace import Reader, between
 
@@ -178,7 +178,7 @@
     async def start_gateways(self, world: World) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         for index in range(self.experiment.gateways.count):
-            with socket.create_server((HOST, 0)) as probe:
+            with open_port() as probe:
                 port = int(probe.getsockname()[1])
             file = self.folder / f"n{index}.json"
             file.write_text(json.dumps(self.configuration(index, port, world)))
--- a/latchspoke/lab/schedules/real.py
+++ b/latchspoke/lab/schedules/real.py
@@ -13,7 +13,6 @@
 import random
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -26,6 +25,7 @@
 from latchspoke.agent.members import MemberStatus, clock
 from latchspoke.duties.records import Define, Rule
 from latchspoke.fleet import wire
+from latchspoke.lab.ports import open_port
 from latchspoke.lab.relay import Mode, Relay
 from latchspoke.lab.schedules.agent import SLOW
 from latchspoke.lab.schedules.check import Verdict
@@ -34,7 +34,6 @@
 LENGTH = 1.5  # s of a grant
 SPAN = 8.0  # s in which faults come
 PATIENCE = 20.0  # s
-PORTS = 10_000, 20_000  # apart from those of the tests
 DUTY = "trial"
 ACT = str(Path(__file__).with_name("act.py"))
 KINDS = (
@@ -253,13 +252,6 @@
         return found
 
 
-def open_port() -> socket.socket:
-    """Below the range from which the kernel takes ports by itself: once let go, nobody else comes upon it."""
-    while True:
-        with contextlib.suppress(OSError):
-            return socket.create_server(("127.0.0.1", random.randrange(*PORTS)))
-
-
 def children(pid: int) -> list[int]:
     with contextlib.suppress(OSError):
         return [int(n) for n in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
--- a/tests/agent/puppet.py
+++ b/tests/agent/puppet.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import selectors
@@ -69,7 +70,8 @@
     for key, _mask in looks.select(0.02):
         if mute:
             continue
-        with key.fileobj.accept()[0] as peer:  # type: ignore[union-attr]
+        # On a busy machine a question may come late, or its limit end before the answer: neither ends this.
+        with contextlib.suppress(OSError), key.fileobj.accept()[0] as peer:  # type: ignore[union-attr]
             peer.settimeout(0.5)
             peer.recv(4096)
             if key.fileobj is web:
--- a/tests/agent/test_rules.py
+++ b/tests/agent/test_rules.py
@@ -102,6 +102,8 @@
         base = json.loads((ROOT / "examples" / "config.json").read_text())
         settings = base["settings"] | {"Index": index, "NInstances": 3}
         address = f"127.0.0.1:{self.ports[0]}"
+        # Callers ask far more often than the example's plan lets them: a refusal is to mean the rules alone.
+        settings["Tariffs"] = [plan | {"Refill": 1e4, "MostAtOnce": 2e4} for plan in settings["Tariffs"]]
         told = base | {"name": name, "discovery": address, "settings": settings}
         told |= {"counter": f"127.0.0.1:{self.ports[1]}"}
         (host.folder / f"{name}.json").write_text(json.dumps(told))
@@ -222,7 +224,8 @@
     field.cut("g1", Mode.HOLD)
     field.put("blocked", aa='"by order"')
     until(lambda: callers["g2"].first_refused() and callers["g3"].first_refused(), "the others refuse it")
-    until(lambda: callers["g1"].first_refused(), "so does the one cut off")
+    until(lambda: "blocked:1-refuse" in field.log("g1"), "the right of the one cut off has ended")
+    until(lambda: callers["g1"].first_refused(), "it refuses as well")
     first = min(callers[name].first_refused() for name in ("g2", "g3"))
     lasted = callers["g1"].last(200) - first
     print(f"contradicted the others for {max(lasted, 0.0):.2f} s of T = {T:.2f} s")
@@ -232,7 +235,6 @@
     field.cut("g1", Mode.PASS)
     until(lambda: field.served("g1", key="cc"), "it acts by right again")
     assert request(field.gates["g1"]) == 429
-    assert "blocked:1-refuse" in field.log("g1")
 
 
 def test_a_gateway_stopped_beyond_its_right_decides_nothing_by_it(field: Field) -> None:
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -28,16 +28,25 @@
 QUICK = 'limits: {drain: "1s", silent: "600ms", pause: "50ms", start: "5s"}'
 
 
-# Below the range from which the kernel takes ports for outgoing connections, and apart for each of
-# the test runner's workers: a port that was free a moment ago is else taken before its process listens.
-PORTS = iter(range(20_000 + 1_000 * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]), 32_000))
+# Below the range from which the kernel takes ports for outgoing connections. The tests' processes share them
+# by blocks: who listens on the first port of one has the rest, whatever other worker or run there is.
+BLOCKS, BLOCK = range(20_000, 32_000, 100), 100
+
+
+def free_ports() -> Iterator[int]:
+    for block in BLOCKS:
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", block)):
+            for port in range(block + 1, block + BLOCK):
+                with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)) as probe:
+                    probe.close()
+                    yield port
+
+
+PORTS = free_ports()
 
 
 def free_port() -> int:
-    for port in PORTS:
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
-    raise AssertionError("no port is left")
+    return next(PORTS)
 
 
 class Host:
--- a/tests/opsdays/test_two_processes.py
+++ b/tests/opsdays/test_two_processes.py
@@ -19,6 +19,7 @@
 
 from barleyhub import interface as api
 from latchspoke.net.kin import Kin
+from tests.agent.world import free_port
 from tests.conftest import Bench
 from tests.opsdays.test_door import World
 from tests.player import configuration
@@ -26,12 +27,6 @@
 TARGETS = ("s1", "s2")
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def call(port: int, text: str) -> tuple[int, bytes]:
     with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
         sock.sendall(f"{text} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
