--- a/latchspoke/lab/system/__main__.py
+++ b/latchspoke/lab/system/__main__.py
@@ -192,9 +192,10 @@
             f"{found.gateways} gateways, {found.cores} control machines, {found.servers} servers,"
             f" {found.per_s:.0f} requests/s, served {found.served:.3f}"
         )
-        for kind, messages, octets, formula in sizing.rows(found):
+        for kind, messages, octets, between, formula in sizing.rows(found):
             beside = "" if formula is None else f"   by the formula {formula:10.0f}"
-            console.print(f"  {kind:20} {messages:9.1f} messages/s {octets:11.0f} bytes/s{beside}")
+            told = f"{octets:11.0f} bytes/s, {between:9.0f} between regions"
+            console.print(f"  {kind:20} {messages:9.1f} messages/s {told}{beside}")
         for kind in ("edge", "core"):
             console.print(
                 f"  own messages at one {kind}: {found.mean[kind]:.0f} bytes/s out and in,"
--- a/latchspoke/lab/system/size.py
+++ b/latchspoke/lab/system/size.py
@@ -12,6 +12,7 @@
 
 from latchspoke.lab.system.day import Play
 from latchspoke.lab.system.machines import CONTROL, DIRECTORY, FRONT, INNER
+from latchspoke.lab.system.network import Host
 from latchspoke.lab.system.records import Day, Deployment, Machines
 from latchspoke.lab.virtual import Address
 
@@ -28,10 +29,12 @@
 
 @dataclass
 class Sums:
-    """Of one span: pieces and bytes by kind, and bytes by machine and way."""
+    """Of one span: pieces and bytes by kind, bytes between regions, and bytes by machine and way."""
 
+    hosts: dict[str, Host] = field(default_factory=dict)
     messages: Counter[str] = field(default_factory=Counter)
     octets: Counter[str] = field(default_factory=Counter)
+    between: Counter[str] = field(default_factory=Counter)
     out: Counter[str] = field(default_factory=Counter)
     into: Counter[str] = field(default_factory=Counter)
     on: bool = False
@@ -42,6 +45,8 @@
         kind = kind_of(what, here, there, data)
         self.messages[kind] += 1
         self.octets[kind] += len(data)
+        if self.hosts[here[0]].region != self.hosts[there[0]].region:
+            self.between[kind] += len(data)
         if kind in OWN:
             self.out[here[0]] += len(data)
             self.into[there[0]] += len(data)
@@ -118,6 +123,7 @@
     with tempfile.TemporaryDirectory(prefix="latchspoke-size-") as home:
         play = Play(place, Day(seed), Path(home))
         play.network.meter = sums.meter
+        sums.hosts = play.network.hosts
         start = place.lead + SETTLED
         play.world.at(start, setattr, sums, "on", True)
         play.world.at(start + seconds, setattr, sums, "on", False)
@@ -134,11 +140,14 @@
     )  # fmt: skip
 
 
-def rows(size: Size) -> list[tuple[str, float, float, float | None]]:
-    """Kind, messages and bytes a second, and the formula's bytes a second if there is one."""
+def rows(size: Size) -> list[tuple[str, float, float, float, float | None]]:
+    """Kind, messages and bytes a second, those between regions, and the formula's bytes if there is one."""
     sums, seconds = size.sums, size.seconds
     return [
-        (kind, sums.messages[kind] / seconds, sums.octets[kind] / seconds, size.formulas.get(kind))
+        (
+            kind, sums.messages[kind] / seconds, sums.octets[kind] / seconds, sums.between[kind] / seconds,
+            size.formulas.get(kind),
+        )
         for kind in (*OWN, "other", "look-ups", "clients", "servers")
         if sums.messages[kind]
-    ]
+    ]  # fmt: skip
--- a/tests/lab/test_system.py
+++ b/tests/lab/test_system.py
@@ -224,8 +224,12 @@
     small = msgspec.structs.replace(size.resized(plains, 6), lead=6.0)
     found = size.measure(small, 1, 3.0)
     assert found.gateways == 6 and found.served > 0.95
-    told = {kind: (octets, formula) for kind, _, octets, formula in size.rows(found)}
+    told = {kind: (octets, formula) for kind, _, octets, _, formula in size.rows(found)}
+    between = {kind: octets for kind, _, _, octets, _ in size.rows(found)}
     for kind in ("patrol", "beats", "who has beaten", "proofs"):
         octets, formula = told[kind]
         assert formula is not None and 0.4 < octets / formula < 2.0, kind
+    # Look-ups and clients stay in their zones; members of the register stand in three regions.
+    assert between["look-ups"] == between["clients"] == 0.0
+    assert 0.3 * told["register"][0] < between["register"] < told["register"][0]
     assert found.worst["edge"] < 0.1 * 250_000  # of its link
