Judge roll-outs with both real programs in the emulator, and turn back within seconds

Cause: for 14 s after each order nothing was judged, as gateways tell whole spans; what is told so early is now enough to turn back by.

--- a/latchspoke/lab/system/day.py
+++ b/latchspoke/lab/system/day.py
@@ -20,6 +20,7 @@
 from latchspoke.lab.system.record import Doc, Order, Record, Touch
 from latchspoke.lab.system.records import ENDS, Day, Deployment, Trouble
 from latchspoke.lab.system.servers import Life, Mischief, Yard
+from latchspoke.shunting import plan as shunting
 
 AFTER = 9.0  # s after the end of traffic: slow answers, and the read-back
 
@@ -184,6 +185,12 @@
     def do_change(self, t: Trouble) -> None:
         self.change(lambda doc: self.plan.changed(doc, t.how))
 
+    def do_shunt(self, t: Trouble) -> None:
+        """A roll-out of the kind ``where`` to the other service that may do it; ``x``: s a step at least."""
+        kind = next(k for k in self.deployment.kinds if k.name == t.where)
+        plan = shunting.Plan(kind.name, kind.service, kind.also, (10.0, 50.0, 100.0), t.x, t.lasts)
+        self.operator.spawn(self.operator.shunt(plan, self.fleet.doors))
+
     def do_race(self, t: Trouble) -> None:
         self.every(t.count, 1.2, lambda: self.operator.spawn(self.operator.race()))
 
--- a/latchspoke/lab/system/machines.py
+++ b/latchspoke/lab/system/machines.py
@@ -166,6 +166,10 @@
         """Those that serve control, as the lagging list says."""
         return [(ip, CONTROL) for ip in self.control_list]
 
+    def doors(self) -> list[Address]:
+        """Where gateways tell what they know."""
+        return [(machine.ip, READY) for machine in self.edges]
+
     def locators(self, zone: str, draw: random.Random) -> list[Address]:
         """Near ones first."""
         region = self.deployment.zones[zone]
--- a/latchspoke/lab/system/operators.py
+++ b/latchspoke/lab/system/operators.py
@@ -7,7 +7,7 @@
 import json
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, cast
 
 from latchspoke.lab.system.callers import affinity_of
 from latchspoke.lab.system.calls import call
@@ -15,6 +15,10 @@
 from latchspoke.lab.system.record import Doc, Order, Record
 from latchspoke.lab.system.records import Deployment, Kind
 from latchspoke.lab.virtual import Address
+from latchspoke.shunting import plan as shunting
+from latchspoke.shunting.engine import Answer, Look, Read, Shunt, Wait
+from latchspoke.shunting.engine import Order as Move
+from latchspoke.shunting.evidence import gather
 
 STOP = frozenset((400, 409, 412, 413, 422))
 LIMIT = 1.0  # s for an answer
@@ -298,6 +302,57 @@
                 if found is not None and found["version"] != old["version"]:
                     self.doc = self.docs.get(int(found["version"], 16), found)
 
+    async def shunt(self, plan: shunting.Plan, doors: Callable[[], list[Address]]) -> None:
+        """A roll-out by its real state machine; what happens is told in the record."""
+        shunt = Shunt(plan, self.world.now)
+        while shunt.end is None:
+            match shunt.next(self.world.now):
+                case Wait(until):
+                    await asyncio.sleep(max(until - self.world.now, 0.01))
+                case Read():
+                    found = await self.read(2.0)
+                    if found is None:
+                        shunt.unread("nobody answers", self.world.now)
+                    else:
+                        shunt.read(cast(Any, found), self.world.now)
+                case Move(_, patch):
+                    answer = await self.put_rule(patch)
+                    shunt.answered(answer, self.world.now)
+                case Look(since):
+                    views = await asyncio.gather(*(self.reach(door, since) for door in doors()))
+                    aim = next(k.aim_ms for k in self.deployment.kinds if k.name == plan.route) / 1000
+                    told = {str(n): view for n, view in enumerate(views)}
+                    found = await self.read(2.0)
+                    shunt.seen(gather(told, plan.route, aim), cast(Any, found), self.world.now)
+            for event in shunt.take_events():
+                self.record.told.append((event.at, "operator", f"shunt-{event.code}", event.fields))
+
+    async def put_rule(self, patch: Doc) -> Answer:
+        """A change of one rule, on top of whatever version it names."""
+        async with self.lock:
+            version, base = int(patch["version"], 16), int(patch["baseVersion"], 16)
+            if base not in self.docs or version in self.docs:
+                return Answer.CONFLICT
+            whole = copy.deepcopy(self.docs[base])
+            (new,) = patch["upsert"]["listenerList"][0]["ruleSet"]
+            for listener in whole["listenerList"]:
+                rules = listener["ruleSet"]
+                listener["ruleSet"] = [new if rule["name"] == new["name"] else rule for rule in rules]
+            whole |= {"version": patch["version"], "baseVersion": patch["baseVersion"]}
+            self.docs[version], self.plan.number = whole, max(self.plan.number, version)
+            order = Order("modify", version, base, whole, "", self.world.now)
+            until = min(self.world.now + self.deployment.bound("ackS"), self.until)
+            target = "/rpc?call=configuration.modify"
+            status = await self.send(order, target, json.dumps(patch).encode(), until)
+            if status == 200:
+                self.doc = whole
+                return Answer.TAKEN
+            return {412: Answer.CONFLICT, 0: Answer.UNCLEAR}.get(status, Answer.REFUSED)
+
+    async def reach(self, door: Address, since: float) -> Doc | None:
+        status, _, body = await call(self.loop, door, "GET", f"/reach?since={since:g}", None, LIMIT)
+        return json.loads(body) if status == 200 else None
+
     async def race(self) -> None:
         async with self.lock:
             old = self.doc
--- a/latchspoke/shunting/engine.py
+++ b/latchspoke/shunting/engine.py
@@ -118,13 +118,19 @@
             return Read()
         if self.wanted is not None:
             return Order(self.wanted, patch_of(self.doc, self.plan, self.wanted))
+        if self.early(now):
+            return Look(now - self.begun_at + SPAN)
         return Look(max(now - self.counted_from, STEP_LEAST))
 
+    def early(self, now: float) -> bool:
+        """What is told may yet be of the step before: enough to turn back by, not to go on."""
+        return now < self.counted_from + SPAN and not self.before
+
     def step_begins(self, now: float) -> None:
         """Gateways tell spans whole: what they tell from ``counted_from`` on ran at this step."""
         self.begun_at, self.counted_from = now, now + SETTLE + SPAN
         self.before = {}
-        self.wait_until = self.counted_from + SPAN
+        self.wait_until = now + POLL
 
     # What comes in.
 
@@ -213,12 +219,13 @@
         plan = self.plan
         assert self.stand is not None
         new, old = (evidence.of(s) + self.before.get(s, NOBODY) for s in (plan.new, plan.old))
+        early = self.early(now)
         if now - self.counted_from >= WINDOW:
             # Gateways forget; what they have told is kept here, and a span that both would tell is left out.
             self.before = {plan.new: new, plan.old: old}
             self.counted_from = now + SPAN
             self.wait_until = self.counted_from + SPAN
-        if old.requests >= plan.requests:
+        if old.requests >= plan.requests and not early:
             self.baseline = old
         elif self.baseline is not None:
             old = self.baseline
@@ -238,7 +245,8 @@
                 now,
             )
         elif found.well(plan.sure) and new.requests >= plan.requests and now - self.begun_at >= plan.hold:
-            self.go_on(now)
+            if not early:
+                self.go_on(now)
 
     def go_on(self, now: float) -> None:
         assert self.stand is not None
--- a/tests/agent/test_unheard.py
+++ b/tests/agent/test_unheard.py
@@ -175,6 +175,7 @@
     (host.folder / "agent.db").write_bytes(spoilt)
     host.start()
     if not spoilt:
+        os.kill(pid, signal.SIGKILL)  # of a launch that nobody knows of any more
         return
     host.wait("g1", "ready")
     assert host.pid("g1") == pid
