Let totals be hosted by gateways that have not just come back, where there are others

A gateway tells once it is ready whether others were there before it; such a latecomer hosts nothing until it is old, and is cautious for 2 s from then on. After a total loss nobody comes late, so that no tenant changes hosts when the first grow old. Ruled out: going by age alone (the first to grow old after a total loss would host everything for some 0.3 s).

--- a/latchspoke/turnout/counts.py
+++ b/latchspoke/turnout/counts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 from barleyhub.line.budget import rank
@@ -28,6 +28,7 @@
         self.name, self.life, self.clock, self.dispatcher, self.told = name, life, clock, dispatcher, told
         self.host = Host()
         self.gateways: dict[str, tuple[str, int]] = {}  # live ones, with where they are reached; this one too
+        self.hosts = dict[str, tuple[str, int]]()  # of them, those that host totals
         self.owners: dict[str, str] = {}
         self.wires: dict[str, Wire] = {}
         self.dialling: set[str] = set()
@@ -37,12 +38,19 @@
         self.number = 0
         self.opened: Callable[[str], None] = lambda name: None  # who else uses these connections
 
-    def live(self, gateways: dict[str, tuple[str, int]], cautious: bool = False) -> None:
+    def live(
+        self,
+        gateways: dict[str, tuple[str, int]],
+        cautious: bool = False,
+        late: Container[str] = (),
+    ) -> None:
         """The live gateways have changed, and with them who hosts what.
 
-        ``cautious``: this process has just begun, and others among them have not.
+        ``cautious``: this process has just begun to host, and others among them have not. ``late``: those
+        that have come back beside others; they know nothing yet, and host nothing as long as others can.
         """
         self.gateways = gateways
+        self.hosts = {name: at for name, at in gateways.items() if name not in late} or gateways
         self.host.cautious, self.host.gateways = cautious, max(len(gateways), 1)
         self.owners.clear()
         for tenant in list(self.host.tallies):
@@ -60,7 +68,7 @@
     def owner(self, tenant: str) -> str:
         owner = self.owners.get(tenant)
         if owner is None:
-            owner = max(self.gateways, key=lambda name: rank(tenant, name), default=self.name)
+            owner = max(self.hosts, key=lambda name: rank(tenant, name), default=self.name)
             self.owners[tenant] = owner
         return owner
 
--- a/latchspoke/turnout/node.py
+++ b/latchspoke/turnout/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
 from barleyhub.line.dispatch import Dispatcher
@@ -38,6 +38,9 @@
 LEASE_PART = 0.9  # of revokeS: how long a proof lasts
 GONE_AFTER = 0.5  # s at least from when somebody was last heard to when it is taken for gone
 YOUNG = 5.0  # s after a start in which a quota may be used up by this process' former life, if no bound tells
+HOSTS_ANEW = (
+    2.0  # s after it is old in which a latecomer, as a host, gives no more than those who tell it may use
+)
 LISTEN_ON = 0.5  # of graceS: so long after SIGTERM new connections still come
 END_BEFORE = 0.35  # s before graceS is over
 TELL = 5.0  # s between lines that tell counts
@@ -69,6 +72,14 @@
         return self.clock.schedule(when, call)
 
 
+def comes_late(meta: Mapping[str, Any], elders: bool) -> bool:
+    """Whether a gateway has come back beside others, and isn't old yet; ``elders``: there are others."""
+    if meta.get("old"):
+        return False
+    told = meta.get("late")
+    return elders if told is None else bool(told)
+
+
 class Node(Cab):
     """One gateway on its sockets."""
 
@@ -115,6 +126,8 @@
         if closed:  # what was dealt to one that is cut off is its own until its lease ends
             self.dispatcher.holds = max(self.lease.lasts - GONE_AFTER, 0.0)
         self.begun_at, self.old = self.clock.now(), s.first
+        # Whether it came beside others that had begun long before; told once it is ready for the first time.
+        self.late: bool | None = False if s.first else None
         self.old_at = self.begun_at + bound("quotaWindowS", YOUNG)
         if not s.first:
             self.dispatcher.young_until = self.old_at
@@ -131,7 +144,7 @@
             "role": "edge", "zone": s.zone, "region": s.region, "front": f"{front[0]}:{front[1]}",
             "link": self.link, "ready": ready,
             "door": s.listen.get("readiness", ("", 0))[1], "old": self.old,
-        }  # fmt: skip
+        } | ({} if self.old or self.late is None else {"late": self.late})  # fmt: skip
 
     # The right to act.
 
@@ -283,11 +296,18 @@
         edges = {n: m for n, m in self.post.patrol.alive.items() if m.meta.get("role") == "edge"}
         now = self.clock.now()
         self.dispatcher.live({n: str(m.meta.get("zone")) for n, m in edges.items()}, now)
-        elders = any(m.meta.get("old") for m in edges.values() if m.name != self.settings.name)
-        self.counts.live({n: m.address for n, m in edges.items()}, not self.old and elders)
+        elders = self.elders()
+        hosts_anew = not self.old or (self.late and now < self.old_at + HOSTS_ANEW)
+        late = {n for n, m in edges.items() if comes_late(m.meta, elders or self.old)}
+        self.counts.live({n: m.address for n, m in edges.items()}, bool(hosts_anew and elders), late)
         if self.travel is not None:
             self.travel.live(edges, now)
 
+    def elders(self) -> bool:
+        """Whether other gateways are known that have not just begun."""
+        members = self.post.patrol.alive.values()
+        return any(m.meta.get("old") for m in members if m.name != self.settings.name)
+
     def settle(self) -> None:
         """Ready is who knows the operator's word, may act by it, and knows of servers."""
         able = (
@@ -296,6 +316,9 @@
         ready = able and not self.front.stopping
         if ready != self.ready:
             self.ready = ready
+            if self.late is None:
+                self.late = self.elders()
+                self.live()
             self.post.tell(self.meta(ready))
             log("ready" if ready else "not-ready", version=self.board.orders.version)
         if able and self.front.held:
@@ -362,6 +385,8 @@
             self.old = True
             self.post.tell(self.meta(self.ready))
             self.live()
+        elif self.late and self.counts.host.cautious and now >= self.old_at + HOSTS_ANEW:
+            self.live()
         if now - self.told_at >= TELL:
             self.tell(now)
 
--- a/tests/line/test_quota.py
+++ b/tests/line/test_quota.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from contextvars import ContextVar
@@ -21,7 +22,7 @@
 from latchspoke.telegraph.wire import Wire
 from latchspoke.timetable.routes import NO_HOMES, Route, Tenant
 from latchspoke.turnout.counts import STEP, Counts
-from latchspoke.turnout.node import YOUNG
+from latchspoke.turnout.node import HOSTS_ANEW, YOUNG, comes_late
 
 RATE, BURST, WINDOW = 70.0, 70.0, 5.0
 BOUND = (RATE * WINDOW + BURST) * 1.1 + 20
@@ -52,8 +53,11 @@
         self.counts = Counts(name, f"{life}", world.clock, self.dispatcher, self.handle)
 
     def see(self, names: list[str]) -> None:
-        self.dispatcher.live(dict.fromkeys(names, "a"), self.world.clock.now())
-        self.counts.live({n: (n, 1) for n in names})
+        late, now = self.world.late, self.world.clock.now()
+        self.dispatcher.live(dict.fromkeys(names, "a"), now)
+        cautious = late.get(self.name, -math.inf) + HOSTS_ANEW > now
+        those = {n for n in names if late.get(n, -math.inf) > now}
+        self.counts.live({n: (n, 1) for n in names}, cautious, those)
 
     def ask(self) -> None:
         self.world.number += 1
@@ -86,6 +90,7 @@
         self.wires: dict[str, list[Wire]] = {}
         self.sent: list[float] = []
         self.life = 0
+        self.late: dict[str, float] = {}  # who came back beside others, and until when it hosts nothing
         for name in self.names:
             self.begin(name)
 
@@ -103,6 +108,19 @@
         self.loop.run_until_complete(server) if not self.loop.is_running() else self.loop.create_task(server)
         gateway.see(self.names)
 
+    def back(self, name: str) -> None:
+        """It has been killed, and begins beside others: all see at their own moments that it grows old."""
+        self.kill(name, seen=False)
+        self.late[name] = self.clock.now() + YOUNG
+        self.begin(name)
+        for after in (0.0, YOUNG, YOUNG + HOSTS_ANEW):
+            for other in self.gateways:
+                self.loop.call_later(after + self.draw.uniform(0.0, 0.6), self.look, other)
+
+    def look(self, name: str) -> None:
+        if name in self.gateways:
+            self.gateways[name].see(sorted(self.gateways))
+
     def kill(self, name: str, seen: bool = True) -> None:
         gateway = self.gateways.pop(name)
         self.loop.network.listeners.pop((name, 1))
@@ -181,6 +199,21 @@
     return {5.0 + 0.4 * i: partial(again, name) for i, name in enumerate(world.names)}
 
 
+def come_back(world: World) -> Story:
+    """The same beside others, who know that: those that have just begun host nothing."""
+    return {5.0 + 0.9 * i: partial(world.back, name) for i, name in enumerate(world.names)}
+
+
+def half_come_back(world: World) -> Story:
+    """Six of eleven at one moment, which also grow old at one."""
+
+    def again() -> None:
+        for name in world.names[:6]:
+            world.back(name)
+
+    return {5.0: again}
+
+
 def all_restart(world: World) -> Story:
     """All at one moment, as none remembers anything of its former life."""
 
@@ -208,6 +241,8 @@
         (none, BOUND),
         (hosts_killed, BOUND),
         (restarts, BOUND),
+        (come_back, BOUND),
+        (half_come_back, BOUND),
         (all_restart, BOUND),
         (one_cut, BOUND),
         # Until the cut is seen, those who still hear the host take what the others take their parts of.
@@ -273,3 +308,29 @@
     assert account.gate(0.0, 3) == account.gate(0.0), "a rank that nothing is known of"
     account.learn(9.0, 80.0, 0.0, (80.0, 0.0), 0.0)
     assert account.gate(0.0, 1) == 1.0 and account.gate(0.0, 2) < 0.2, "a burst reaches further down"
+
+
+def test_who_comes_back_beside_others_hosts_nothing_until_it_is_old() -> None:
+    world = World(1)
+    counts = world.gateways["g1"].counts
+    those = {name: (name, 1) for name in world.names}
+    owner = counts.owner("t")
+    counts.live(those, late={owner})
+    assert counts.owner("t") != owner
+    counts.live(those, late=set(those))  # all have come back: somebody has to
+    assert counts.owner("t") == owner
+    world.loop.close()
+
+
+@pytest.mark.parametrize(
+    ("meta", "elders", "late"),
+    [
+        ({"old": True}, True, False),
+        ({"old": False}, True, True),  # it hasn't told yet, and others were there before it
+        ({"old": False}, False, False),
+        ({"old": False, "late": True}, False, True),
+        ({"old": False, "late": False}, True, False),  # all had begun anew with it, and some are old by now
+    ],
+)
+def test_after_a_total_loss_nobody_comes_late(meta: dict[str, bool], elders: bool, late: bool) -> None:
+    assert comes_late(meta, elders) is late
