Hand a tenant's totals on to the next host, when a gateway leaves or another takes over

A gateway that is told to end says so at once, hosts nothing any more, and hands its tallies on while it still serves; so does a host whose tenant goes to one that has grown old. Cumulative counts by gateway go along, so that a report that both hosts get counts once, and the former host gives nothing from then on. Ruled out: handing on at the very end (what is reported between is lost), a copy kept at the next host all the time (bytes).

--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -9,6 +9,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Any
 
 PERIOD = 0.5  # s; the gate's period: what it lets pass is spread over this
 DEPTH = 1.0  # s; offered and admitted units a second are averaged over this
@@ -23,6 +24,9 @@
 START = 0.5  # of the burst is a host's first room where no gateway knows one: it may just have been used
 KEPT = 60.0  # s; who was idle for longer is forgotten
 SAFE = 1.0  # of the quota is given out
+Image = list[
+    Any
+]  # of a tally that is handed on: rate, burst, room, offered, admitted, and by gateway what it told
 
 
 @dataclass(slots=True)
@@ -219,6 +223,7 @@
     admitted: float = 0.0
     told: dict[str, Told] = field(default_factory=dict)
     since: float = 0.0
+    inherited: bool = False  # goes on from what the host before it knew, who gives nothing any more
 
     def advance(self, now: float, part: float) -> None:
         """``part``: of all gateways, what those are that may be told by this host."""
@@ -234,6 +239,7 @@
 
     def __init__(self) -> None:
         self.tallies: dict[str, Tally] = {}
+        self.heirs: dict[str, Tally] = {}  # handed on to here, and not asked for yet
         self.part = 1.0  # the rest may be cut off, and have a host of their own
         # This process has just begun, and others have not: until they tell, what they use is not known here.
         self.cautious = False
@@ -245,13 +251,16 @@
         """Take one gateway's cumulative counts in; room, offered and admitted a second come back."""
         rate, burst = counts["r"], counts["b"]
         tally, known = self.tallies.get(tenant), counts.get("k", 0.0 if self.cautious else burst * START)
+        if tally is None and (heir := self.heirs.pop(tenant, None)) is not None and now - heir.at < FRESH:
+            tally = self.tallies[tenant] = heir
         if known > 0:
             known *= self.part
         if tally is None:
             tally = self.tallies[tenant] = Tally(rate, burst, now, min(known, burst), since=now)
             tally.offered = counts.get("ko", 0.0)
         # The others may still go by another host, which gives the rate too.
-        heard = min(len(tally.told) / self.gateways, 1.0) if self.cautious else 1.0
+        careful = self.cautious and not tally.inherited
+        heard = min(len(tally.told) / self.gateways, 1.0) if careful else 1.0
         tally.advance(now, min(self.part, heard))
         if (tally.rate, tally.burst) != (rate, burst):
             # Gateways learn of other figures one by one: meanwhile the lower ones hold.
@@ -283,7 +292,24 @@
         """Drop what nobody has told of for long, and what isn't hosted here any more."""
         for tenant in [t for t, tally in self.tallies.items() if now - tally.at > KEPT]:
             del self.tallies[tenant]
-
-    def hand_on(self, tenant: str) -> None:
-        """Another gateway hosts it now: what is known here gets old, and must not be gone on with later."""
-        self.tallies.pop(tenant, None)
+        self.heirs = {tenant: heir for tenant, heir in self.heirs.items() if now - heir.at < FRESH}
+
+    def hand_on(self, tenant: str, now: float) -> Image | None:
+        """Another gateway hosts it now, and gets this; what is known here must not be gone on with later."""
+        tally = self.tallies.pop(tenant, None)
+        if tally is None or all(now - told.at > FRESH for told in tally.told.values()):
+            return None
+        tally.advance(now, self.part)
+        told = {name: [each.life, each.offered, each.admitted] for name, each in tally.told.items()}
+        figures = [round(x, 2) for x in (tally.room, tally.offered, tally.admitted)]
+        return [tally.rate, tally.burst, *figures, told]
+
+    def inherit(self, tenant: str, image: Image, now: float) -> None:
+        """What the host before knew. One that has begun here meanwhile keeps its own room, which is less."""
+        rate, burst, room, offered, admitted, told = image
+        counted = {name: Told(life, o, a, now) for name, (life, o, a) in told.items()}
+        begun = self.tallies.get(tenant)
+        if begun is None:
+            self.heirs[tenant] = Tally(rate, burst, now, room, offered, admitted, counted, now, True)
+        elif now - begun.since < FRESH:
+            begun.told = counted | begun.told
--- a/latchspoke/turnout/counts.py
+++ b/latchspoke/turnout/counts.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 from barleyhub.line.budget import rank
 from barleyhub.line.dispatch import Dispatcher, Told
-from barleyhub.line.quota import Host
+from barleyhub.line.quota import Host, Image
 from latchspoke.net.clock import Clock
 from latchspoke.telegraph.wire import Message, Wire, dial
 
@@ -29,6 +30,7 @@
         self.host = Host()
         self.gateways: dict[str, tuple[str, int]] = {}  # live ones, with where they are reached; this one too
         self.hosts = dict[str, tuple[str, int]]()  # of them, those that host totals
+        self.heirs = dict[str, dict[str, Image]]()  # tallies on their way to their next hosts, by these
         self.owners: dict[str, str] = {}
         self.wires: dict[str, Wire] = {}
         self.dialling: set[str] = set()
@@ -53,12 +55,26 @@
         self.hosts = {name: at for name, at in gateways.items() if name not in late} or gateways
         self.host.cautious, self.host.gateways = cautious, max(len(gateways), 1)
         self.owners.clear()
+        now = self.clock.now()
         for tenant in list(self.host.tallies):
-            if self.owner(tenant) != self.name:
-                self.host.hand_on(tenant)
+            if (owner := self.owner(tenant)) != self.name and (image := self.host.hand_on(tenant, now)):
+                self.heirs.setdefault(owner, {})[tenant] = image
+        self.bequeath(now)
         for name in [n for n in self.wires if n not in gateways]:
             self.wires.pop(name).end("gone")
 
+    def bequeath(self, now: float) -> None:
+        """What is handed on goes to the next hosts; it is of no use to them a little later."""
+        for owner, images in list(self.heirs.items()):
+            wire = self.wires.get(owner)
+            if wire is not None:
+                wire.send({"k": "heir", "t": images})
+                del self.heirs[owner]
+            elif owner in self.gateways and now - self.failed.get(owner, -math.inf) >= AGAIN:
+                self.open(owner, now)
+            else:
+                del self.heirs[owner]
+
     def prepare(self, tenants: Iterable[str]) -> None:
         """Connections to those who host these: the first request of one shouldn't wait for that."""
         now = self.clock.now()
@@ -123,6 +139,7 @@
             wire.send({"k": "counts", "name": self.name, "life": self.life})
             self.wires[owner] = wire
             self.opened(owner)
+            self.bequeath(self.clock.now())
             self.step(self.clock.now())
         self.dialling.discard(owner)
 
@@ -140,6 +157,10 @@
         if message["k"] == "counts":
             wire.tag = str(message["name"]), str(message["life"])
             return
+        if message["k"] == "heir":
+            for tenant, image in message["t"].items():
+                self.host.inherit(tenant, image, self.clock.now())
+            return
         now, totals = self.clock.now(), {}
         name, life = wire.tag
         for tenant, told in message["t"].items():
--- a/latchspoke/turnout/node.py
+++ b/latchspoke/turnout/node.py
@@ -72,10 +72,10 @@
         return self.clock.schedule(when, call)
 
 
-def comes_late(meta: Mapping[str, Any], elders: bool) -> bool:
-    """Whether a gateway has come back beside others, and isn't old yet; ``elders``: there are others."""
-    if meta.get("old"):
-        return False
+def hosts_nothing(meta: Mapping[str, Any], elders: bool) -> bool:
+    """Whether a gateway leaves, or has come back beside others (``elders``: some are there) and isn't old."""
+    if meta.get("old") or meta.get("leaves"):
+        return bool(meta.get("leaves"))
     told = meta.get("late")
     return elders if told is None else bool(told)
 
@@ -144,7 +144,9 @@
             "role": "edge", "zone": s.zone, "region": s.region, "front": f"{front[0]}:{front[1]}",
             "link": self.link, "ready": ready,
             "door": s.listen.get("readiness", ("", 0))[1], "old": self.old,
-        } | ({} if self.old or self.late is None else {"late": self.late})  # fmt: skip
+        } | ({"leaves": True} if self.front.stopping else {}) | (
+            {} if self.old or self.late is None else {"late": self.late}
+        )  # fmt: skip
 
     # The right to act.
 
@@ -298,7 +300,7 @@
         self.dispatcher.live({n: str(m.meta.get("zone")) for n, m in edges.items()}, now)
         elders = self.elders()
         hosts_anew = not self.old or (self.late and now < self.old_at + HOSTS_ANEW)
-        late = {n for n, m in edges.items() if comes_late(m.meta, elders or self.old)}
+        late = {n for n, m in edges.items() if hosts_nothing(m.meta, elders or self.old)}
         self.counts.live({n: m.address for n, m in edges.items()}, bool(hosts_anew and elders), late)
         if self.travel is not None:
             self.travel.live(edges, now)
@@ -327,7 +329,7 @@
     # Messages of other gateways.
 
     def heard(self, wire: Wire, message: Message) -> None:
-        if message.get("k") in ("c", "counts"):
+        if message.get("k") in ("c", "counts", "heir"):
             self.counts.count(wire, message)
         elif not self.teller.heard(wire, message) and self.travel is not None and message.get("k") == "w":
             self.travel.heard(message)
@@ -414,6 +416,8 @@
         self.stopping_at = self.clock.now()
         self.front.stopping = True
         self.settle()
+        self.post.tell(self.meta(False))
+        self.live()  # what is hosted here is handed on while there is time
         log("stops")
         self.front.close_idle()
         self.clock.schedule(self.stopping_at + 0.05, self.drain)
--- a/tests/line/test_quota.py
+++ b/tests/line/test_quota.py
@@ -22,7 +22,7 @@
 from latchspoke.telegraph.wire import Wire
 from latchspoke.timetable.routes import NO_HOMES, Route, Tenant
 from latchspoke.turnout.counts import STEP, Counts
-from latchspoke.turnout.node import HOSTS_ANEW, YOUNG, comes_late
+from latchspoke.turnout.node import HOSTS_ANEW, YOUNG, hosts_nothing
 
 RATE, BURST, WINDOW = 70.0, 70.0, 5.0
 BOUND = (RATE * WINDOW + BURST) * 1.1 + 20
@@ -53,6 +53,7 @@
         self.counts = Counts(name, f"{life}", world.clock, self.dispatcher, self.handle)
 
     def see(self, names: list[str]) -> None:
+        HERE.set(self.name)
         late, now = self.world.late, self.world.clock.now()
         self.dispatcher.live(dict.fromkeys(names, "a"), now)
         cautious = late.get(self.name, -math.inf) + HOSTS_ANEW > now
@@ -110,13 +111,28 @@
 
     def back(self, name: str) -> None:
         """It has been killed, and begins beside others: all see at their own moments that it grows old."""
-        self.kill(name, seen=False)
+        if name in self.gateways:
+            self.kill(name, seen=False)
         self.late[name] = self.clock.now() + YOUNG
         self.begin(name)
         for after in (0.0, YOUNG, YOUNG + HOSTS_ANEW):
             for other in self.gateways:
                 self.loop.call_later(after + self.draw.uniform(0.0, 0.6), self.look, other)
 
+    def leave(self, name: str) -> None:
+        """In order: it tells, hands on what it hosts, serves on for 3 s, and is back 1 s after that."""
+        self.late[name] = math.inf
+        self.look(name)
+        for other in self.gateways:
+            self.loop.call_later(self.draw.uniform(0.0, 0.6), self.look, other)
+
+        def end() -> None:
+            self.kill(name, seen=False)
+            self.see()
+
+        self.loop.call_later(3.0, end)
+        self.loop.call_later(4.0, self.back, name)
+
     def look(self, name: str) -> None:
         if name in self.gateways:
             self.gateways[name].see(sorted(self.gateways))
@@ -204,6 +220,18 @@
     return {5.0 + 0.9 * i: partial(world.back, name) for i, name in enumerate(world.names)}
 
 
+def leave_in_turn(world: World) -> Story:
+    """Each told to end in order, whoever hosts the totals among them, and the next host a little later."""
+    story = {3.0 + 1.3 * i: partial(world.leave, name) for i, name in enumerate(world.names[:-1])}
+
+    def host() -> None:
+        owner = next(iter(world.gateways.values())).counts.owner("t")
+        if world.late.get(owner, -math.inf) < world.clock.now():
+            world.leave(owner)
+
+    return story | {3.6: host, 6.1: host}
+
+
 def half_come_back(world: World) -> Story:
     """Six of eleven at one moment, which also grow old at one."""
 
@@ -243,6 +271,7 @@
         (restarts, BOUND),
         (come_back, BOUND),
         (half_come_back, BOUND),
+        (leave_in_turn, BOUND),
         (all_restart, BOUND),
         (one_cut, BOUND),
         # Until the cut is seen, those who still hear the host take what the others take their parts of.
@@ -265,6 +294,43 @@
     assert len(world.sent) > 0.97 * world.number
 
 
+@pytest.mark.parametrize("handed_on", [True, False])
+def test_hosts_that_leave_in_order_hand_on_what_they_know(
+    handed_on: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Near its quota, a tenant is refused nothing for that; were nothing handed on, it would be."""
+    if not handed_on:
+        monkeypatch.setattr(Host, "inherit", lambda *args: None)
+    refused = Counter[str]()
+    for seed in (0, 2, 5):
+        world = World(seed)
+        world.run(18.0, leave_in_turn(world), load=0.85 * RATE)
+        refused += sum((gateway.dispatcher.counts for gateway in world.gateways.values()), Counter())
+    assert (refused["refused.total"] + refused["refused.gate"] == 0) is handed_on
+
+
+def test_a_tally_that_is_handed_on_counts_each_report_once() -> None:
+    """Two gateways told the host before; one tells the next one, too, before the tally has come."""
+    told = {"r": 10.0, "b": 100.0}
+    before, after = Host(), Host()
+    before.report("g1", "one", "t", told | {"o": 5.0, "a": 5.0, "k": 60.0}, 0.0)
+    before.report("g2", "one", "t", told | {"o": 4.0, "a": 4.0, "k": 60.0}, 0.0)
+    image = before.hand_on("t", 0.5)
+    assert image is not None and image[2] == 65.0 and before.hand_on("t", 0.5) is None
+    after.inherit("t", image, 0.5)
+    # 3 more by the one, 2 more by the other, 10 a second between.
+    assert after.report("g1", "one", "t", told | {"o": 8.0, "a": 8.0, "k": 0.0}, 0.6)[0] == 63.0
+    assert after.report("g2", "one", "t", told | {"o": 6.0, "a": 6.0, "k": 0.0}, 0.6)[0] == 61.0
+    late = Host()
+    late.report("g1", "one", "t", told | {"o": 8.0, "a": 8.0, "k": 50.0}, 0.5)
+    late.inherit("t", image, 0.6)
+    assert late.report("g2", "one", "t", told | {"o": 6.0, "a": 6.0, "k": 0.0}, 0.6)[0] == 49.0
+    late.hand_on("t", 0.7)
+    late.inherit("t", image, 1.0)
+    late.forget(9.0)
+    assert not late.heirs, "what nobody asked for is old"
+
+
 def test_a_lower_limit_holds_one_window_after_all_have_heard_of_it() -> None:
     world = World(5)
 
@@ -332,5 +398,5 @@
         ({"old": False, "late": False}, True, False),  # all had begun anew with it, and some are old by now
     ],
 )
-def test_after_a_total_loss_nobody_comes_late(meta: dict[str, bool], elders: bool, late: bool) -> None:
-    assert comes_late(meta, elders) is late
+def test_after_a_total_loss_nobody_hosts_nothing(meta: dict[str, bool], elders: bool, late: bool) -> None:
+    assert hosts_nothing(meta, elders) is late
