Tell a control machine that begins anew what others have seen of evacuations

Who has seen changes of evacuations tells each control machine that it connects to: place, which way, age, and whose caller has its answer. Ruled out: times in the register (clocks of machines differ and jump), asking the others at each call (a cut one is waited for). The emulator also judges what an unsettled core may stretch (stretchMaxS). Tests fail without the mend.

--- a/latchspoke/lab/system/day.py
+++ b/latchspoke/lab/system/day.py
@@ -67,6 +67,7 @@
         )
         self.record, self.touch = Record(), Touch(deployment.bound("contactS"))
         self.fleet = Fleet(deployment, self.network, self.record, self.touch, day.seed, home)
+        self.touch.cores = tuple(machine.ip for machine in self.fleet.cores)
         self.plan = Plan(deployment, day.seed)
         self.yard = Yard(deployment, self.network, self.record, day.seed, self.fleet.control)
         self.yard.kinds = {kind.name: kind for kind in deployment.kinds}
--- a/latchspoke/lab/system/record.py
+++ b/latchspoke/lab/system/record.py
@@ -154,6 +154,7 @@
     cuts: list[tuple[float, float]] = field(default_factory=list)  # spans with any link in trouble
     core: list[float] = field(default_factory=list)  # moments that unsettle the core
     unsettled: list[list[float]] = field(default_factory=list)  # spans without a majority that is connected
+    cores: tuple[str, ...] = ()  # ips of the core
 
     def trouble(self, ip: str, start: float, end: float) -> None:
         self.spans.setdefault(ip, []).append([start, end])
@@ -172,6 +173,20 @@
         """Whether nothing befell the machine then."""
         return not any(a <= end and b >= start for a, b in self.spans.get(ip, ()))
 
+    def outer(self, ip: str, since: float, when: float) -> bool:
+        """Whether only an unsettled core may have held it up, and from ``since`` on most of that was well.
+
+        Then the bounds of configuration and evacuation are stretched by ``stretchMaxS`` and no more.
+        """
+        start = when - self.contact
+        well = sum(self.calm(core, since, when) for core in self.cores)
+        return (
+            self.calm(ip, start, when)
+            and not any(a <= when and b >= start for a, b in self.planned.get(ip, ()))
+            and not any(a <= when and b >= since for a, b in self.unsettled)
+            and 2 * well > len(self.cores)
+        )
+
     def at(self, ip: str, when: float) -> bool:
         """In touch at this moment."""
         start = when - self.contact
--- a/latchspoke/signalbox/node.py
+++ b/latchspoke/signalbox/node.py
@@ -57,6 +57,16 @@
                 self.whole.set_result(None)
 
 
+@dataclass(slots=True, frozen=True)
+class Moved:
+    """The last change of a zone's evacuations."""
+
+    place: int  # in the register
+    begun: bool  # one more stands since; else one less
+    at: float
+    seen: bool  # as it came; what stood at the start of a process may be of any age
+
+
 class Node(Cab):
     """One control machine on its sockets."""
 
@@ -83,10 +93,9 @@
         self.proving = False
         self.together_at = self.begun_at = self.clock.now()
         self.stood: dict[str, int] = {}  # evacuations by zone, as last applied here
-        self.answered: dict[
-            str, int
-        ] = {}  # by zone: the place of its last change whose caller has its answer
-        self.moved: dict[str, tuple[bool, float]] = {}  # whether one more stood at its last change, and when
+        # By zone: the place of its last change whose caller has its answer.
+        self.answered: dict[str, int] = {}
+        self.moved: dict[str, Moved] = {}  # by zone, as seen here or told by one that has seen it
         self.calls: dict[str, Callable[[Asked, bytes], Answer | Awaitable[Answer]]] = {
             "instances.heartbeat": lambda asked, body: self.beat(asked.of, body),
             "instances.deregister": lambda asked, body: self.leave(asked.of),
@@ -113,7 +122,10 @@
         for zone in kept.zones:
             stand = kept.standing(zone)
             if stand != self.stood.get(zone, 0):
-                self.moved[zone] = stand > self.stood.get(zone, 0), self.clock.now()
+                known, place = self.moved.get(zone), kept.zones[zone][0]
+                if known is None or known.place < place:
+                    begun = stand > self.stood.get(zone, 0)
+                    self.moved[zone] = Moved(place, begun, self.clock.now(), self.station.proven)
                 self.stood[zone] = stand
         if self.station.proven:
             self.tell_orders()
@@ -163,7 +175,12 @@
 
     def peer_joined(self, wire: Wire) -> None:
         """A new connection to one: it is told all that is known of servers."""
-        wire.send({"k": "roster", "e": self.roster.whole(self.clock.now())})
+        now = self.clock.now()
+        wire.send({"k": "roster", "e": self.roster.whole(now)})
+        # It may have begun anew, and know neither when evacuations were ordered nor who has an answer.
+        seen = {z: [m.place, m.begun, round(now - m.at, 3)] for z, m in self.moved.items() if m.seen}
+        if seen or self.answered:
+            wire.send({"k": "moved", "z": seen, "a": self.answered})
 
     def peer_answers(self, wire: Wire, message: Message) -> None:
         if message.get("k") == "got":
@@ -187,13 +204,22 @@
                 self.refresh(message["b"], now)
             case "hot":
                 self.evidence(wire, message, now)
-            case "answered":
-                self.answered[str(message["z"])] = int(message["i"])
+            case "moved":
+                self.learn_moved(message["z"], message["a"], now)
             case kind:
                 self.teller.heard(wire, message)
                 if kind == "hello" and (known := self.ledger.whole(now, wire.tag.zone)):
                     wire.send({"k": "hot", "e": known})
 
+    def learn_moved(self, moved: dict[str, list[Any]], answered: dict[str, int], now: float) -> None:
+        """What another control machine has seen of evacuations, and whose callers have their answer."""
+        for zone, (place, begun, age) in moved.items():
+            known = self.moved.get(zone)
+            if known is None or known.place < place or (known.place == place and not known.seen):
+                self.moved[zone] = Moved(place, begun, now - age, True)
+        for zone, place in answered.items():
+            self.answered[zone] = max(self.answered.get(zone, -1), place)
+
     def left(self, wire: Wire, reason: str) -> None:
         super().left(wire, reason)
         if isinstance(wire.tag, Reader):
@@ -394,10 +420,13 @@
         command: dict[str, Any] = {"do": "evacuate" if begins else "restore", "zone": asked.of}
         came, stand = self.clock.now(), self.station.orders.standing(asked.of)
         if stand:
-            # What stood already when this process began may have been ordered a moment before.
-            begun, at = self.moved.get(asked.of, (begins, self.begun_at))
-            again = begun == begins and came - at < self.settings.bound("ackS", ACK)
-            again = again and self.station.orders.zones[asked.of][0] != self.answered.get(asked.of)
+            place = self.station.orders.zones[asked.of][0]
+            moved = self.moved.get(asked.of)
+            if moved is None or moved.place != place or not moved.seen:
+                # What stood already when this process began may have been ordered a moment before.
+                moved = Moved(place, begins, self.begun_at, False)
+            again = moved.begun == begins and came - moved.at < self.settings.bound("ackS", ACK)
+            again = again and place != self.answered.get(asked.of)
             if begins and not again:
                 command["stand"] = stand
             elif not begins and again:
@@ -411,8 +440,8 @@
         status, told = await self.put(command)
         if status == 200 and self.clock.now() - came < ANSWERED and asked.of in self.station.orders.zones:
             index = self.station.orders.zones[asked.of][0]
-            self.answered[asked.of] = index
-            self.peers.all({"k": "answered", "z": asked.of, "i": index})
+            self.learn_moved({}, {asked.of: index}, came)
+            self.peers.all({"k": "moved", "z": {}, "a": {asked.of: index}})
         return status, told | {"standing": self.station.orders.standing(asked.of)}
 
     # Who there is.
--- a/tests/lab/test_system.py
+++ b/tests/lab/test_system.py
@@ -11,7 +11,7 @@
 import pytest
 
 from latchspoke.lab.system import hunt, records, report, rules, size
-from latchspoke.lab.system.day import play
+from latchspoke.lab.system.day import Play, play
 from latchspoke.lab.system.guards import GUARDS
 from latchspoke.lab.system.network import Link
 from latchspoke.lab.system.records import Day, Machines, Trouble
@@ -56,6 +56,18 @@
     assert not hunt.one(records.read(SHORES), Day(1, troubles)).findings
 
 
+def test_a_machine_that_begins_anew_between_two_evacuations_tells_them_apart() -> None:
+    """EVAC: it knew neither when the first was ordered nor that its caller had its answer."""
+    troubles = (
+        Trouble(1.0, "evacuate", lasts=7.0, where="quay"),
+        Trouble(5.6, "kill", lasts=1.2, where="core-quay-2"),
+        Trouble(5.62, "kill", lasts=1.2, where="core-hill-3"),
+        Trouble(7.6, "evacuate", lasts=7.5, where="quay"),
+    )
+    for seed in range(3):  # whom the second operator asks is drawn
+        assert not hunt.one(records.read(SHORES), Day(seed, troubles)).findings
+
+
 def test_a_server_turns_cold_while_a_gateway_follows_a_machine_that_lost_power() -> None:
     """FAILBACK: a day that a hunt found. Without the word straight to all gateways two of these break."""
     troubles = (
@@ -233,3 +245,16 @@
     assert between["look-ups"] == between["clients"] == 0.0
     assert 0.3 * told["register"][0] < between["register"] < told["register"][0]
     assert found.worst["edge"] < 0.1 * 250_000  # of its link
+
+
+def test_an_unsettled_core_stretches_bounds_so_far_and_no_farther() -> None:
+    """One control machine is killed again and again, so that no machine is ever in touch."""
+    shores = records.read(SHORES)
+    core = next(m.name for m in Play(shores, Day(1), Path()).fleet.cores if m.host.zone == "hill")
+    kills = tuple(Trouble(0.3 + 2.5 * n, "kill", lasts=0.3, where=core) for n in range(8))
+    troubles = (Trouble(0.5, "evacuate", lasts=30.0, where="hill"), *kills)
+    assert not hunt.one(shores, Day(1, troubles)).findings
+    found = hunt.one(shores, Day(1, troubles), "evacuation").findings
+    most = shores.bound("evacuationS") + shores.bound("stretchMaxS")
+    assert {f.rule for f in found} == {"EVAC"}
+    assert all(float(f.what.partition(" ")[0]) > most for f in found)
