Let go of a tally whose next host can't be reached

Cause, by reading: it stayed until the next change of the live gateways, and would then have passed for what is known at that moment. Too little would have been given, never too much, as counts are cumulative. Test fails without it.

--- a/latchspoke/turnout/counts.py
+++ b/latchspoke/turnout/counts.py
@@ -141,6 +141,7 @@
             self.opened(owner)
             self.bequeath(self.clock.now())
             self.step(self.clock.now())
+        self.heirs.pop(owner, None)  # who can't be reached now can't go on from them later
         self.dialling.discard(owner)
 
     def heard(self, wire: Wire, message: Message) -> None:
--- a/tests/line/test_quota.py
+++ b/tests/line/test_quota.py
@@ -331,6 +331,26 @@
     assert not late.heirs, "what nobody asked for is old"
 
 
+def test_a_tally_for_somebody_out_of_reach_is_let_go() -> None:
+    """Sent later it would pass for what is known now."""
+    world = World(1)
+    counts = world.gateways["g1"].counts
+    counts.host.report("g2", "1", "t", {"r": RATE, "b": BURST, "o": 1.0, "a": 1.0}, world.clock.now())
+    those = {name: (name, 1) for name in world.names}
+    others = [name for name in world.names if name != "g1"]
+    world.cut(["g1"], others)
+
+    async def story() -> None:
+        HERE.set("g1")
+        counts.live(those, late={"g1"})
+        assert counts.heirs
+        await asyncio.sleep(1.0)
+        assert not counts.heirs
+
+    world.loop.run_until_complete(story())
+    world.loop.close()
+
+
 def test_a_lower_limit_holds_one_window_after_all_have_heard_of_it() -> None:
     world = World(5)
 
