Turn a roll-out back for want of servers only at two looks in a row

Cause, by reading: a control machine that has just begun tells of no servers, or of some, until all have beaten (1.5 s, looks come every 2 s); one such answer turned a good roll-out back. No servers at all is now no knowledge, and it takes two looks. Ruled out: asking several machines (one that is cut off knows as little).

--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -24,9 +24,8 @@
 START = 0.5  # of the burst is a host's first room where no gateway knows one: it may just have been used
 KEPT = 60.0  # s; who was idle for longer is forgotten
 SAFE = 1.0  # of the quota is given out
-Image = list[
-    Any
-]  # of a tally that is handed on: rate, burst, room, offered, admitted, and by gateway what it told
+# Of a tally that is handed on: rate, burst, room, offered, admitted, and by gateway what it told.
+Image = list[Any]
 
 
 @dataclass(slots=True)
--- a/latchspoke/shunting/engine.py
+++ b/latchspoke/shunting/engine.py
@@ -106,6 +106,7 @@
         self.wait_until = now
         self.reading = True
         self.baseline: Counted | None = None  # of the old service, the last that was enough
+        self.missing = False  # at the last look the new service had no server that may be sent to
         self.end: End | None = None
         self.events: list[Event] = []
 
@@ -202,10 +203,14 @@
             self.read(doc, now)
             if self.end is not None:
                 return
-        if evidence is not None and evidence.able is not None and not evidence.able.get(self.plan.new):
+        # A control machine that has just begun knows no servers, or some of them until they have all beaten.
+        able = evidence.able if evidence is not None else None
+        missing = bool(able) and able is not None and not able.get(self.plan.new)
+        if missing and self.missing:
             # Its part of the requests is refused, and reaches nobody who could tell.
             self.turn_back(f"no server of {self.plan.new} may be sent to", now)
             return
+        self.missing = missing
         if evidence is not None and evidence.heard >= self.plan.heard * max(evidence.gateways, 1):
             self.judged(evidence, now)
         if self.end is None and self.wanted is None and now - self.begun_at >= self.plan.longest:
--- a/latchspoke/turnout/counts.py
+++ b/latchspoke/turnout/counts.py
@@ -49,7 +49,7 @@
         """The live gateways have changed, and with them who hosts what.
 
         ``cautious``: this process has just begun to host, and others among them have not. ``late``: those
-        that have come back beside others; they know nothing yet, and host nothing as long as others can.
+        that leave, or have come back beside others and know nothing yet: none is a host while others can be.
         """
         self.gateways = gateways
         self.hosts = {name: at for name, at in gateways.items() if name not in late} or gateways
--- a/latchspoke/turnout/node.py
+++ b/latchspoke/turnout/node.py
@@ -38,9 +38,8 @@
 LEASE_PART = 0.9  # of revokeS: how long a proof lasts
 GONE_AFTER = 0.5  # s at least from when somebody was last heard to when it is taken for gone
 YOUNG = 5.0  # s after a start in which a quota may be used up by this process' former life, if no bound tells
-HOSTS_ANEW = (
-    2.0  # s after it is old in which a latecomer, as a host, gives no more than those who tell it may use
-)
+# s after it is old in which a latecomer, as a host, gives no more than those who tell it may use
+HOSTS_ANEW = 2.0
 LISTEN_ON = 0.5  # of graceS: so long after SIGTERM new connections still come
 END_BEFORE = 0.35  # s before graceS is over
 TELL = 5.0  # s between lines that tell counts
