Give a lost voter's place to a guest within catchUpS, and let seven vote at most

Change: configstore/voters.py decides who votes (pure): silence from catchUpS, counted only while the leader has a majority and runs; whoever stops says so and its vote goes at once; all newcomers come in by one entry, as guests; at most seven vote, spread over regions and zones.

--- a/latchspoke/configstore/guards.py
+++ b/latchspoke/configstore/guards.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from unittest import mock
 
 import msgspec
 
+from latchspoke.configstore import voters
 from latchspoke.configstore.drills import Play
 from latchspoke.configstore.orders import TAKEN, Command, Orders, Verdict
 from latchspoke.configstore.register import Register, Waits, founding
@@ -21,7 +22,7 @@
 from latchspoke.consensus.member import HANDLERS, Member, Output
 from latchspoke.consensus.records import Entry, Members, Snapshot
 
-Patch = tuple[type, str, Any]  # owner, name, what stands there without the guard
+Patch = tuple[Any, str, Any]  # class or module, name, what stands there without the guard
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,14 +169,17 @@
     register.number = 0
 
 
-def no_learner(register: Register) -> Members | None:
-    wanted = WELCOME(register)
-    if wanted is None or not wanted.learners:
-        return wanted
-    return msgspec.structs.replace(wanted, voters=wanted.voters + wanted.learners, learners=())
+def newcomers_vote(old: Members, newcomers: Iterable[voters.Newcomer]) -> Members | None:
+    """A newcomer votes before it has caught up."""
+    wanted = ADMIT(old, list(newcomers)[:1])
+    if wanted is None:
+        return None
+    return msgspec.structs.replace(
+        wanted, voters=wanted.voters + wanted.guests[-1:], guests=wanted.guests[:-1]
+    )
 
 
-WELCOME = Register.welcome
+ADMIT = voters.admit
 
 
 def any_log(member: Member, message: Any, now: float) -> None:
@@ -230,13 +234,8 @@
 RECEIVE = Member.receive
 
 
-def promoted_at_once(member: Member, name: str, peer: Any, now: float) -> None:
-    match, peer.match = peer.match, member.commit
-    PROMOTE(member, name, peer, now)
-    peer.match = match
-
-
-PROMOTE = Member.promote
+def promoted_at_once(register: Register, identity: str, now: float) -> bool:
+    return True
 
 
 def keeps_what_was_placed(register: Register, output: Output, now: float) -> None:
@@ -282,8 +281,8 @@
     "later-callers": Guard(((Register, "prove", joins),), "asked_again"),
     "stale": Guard(((Register, "on_told", stale_is_final),), "behind"),
     "numbers": Guard(((Register, "__init__", ever_the_same_numbers),), "reborn"),
-    "learner": Guard(((Register, "welcome", no_learner),)),
-    "caught-up": Guard(((Member, "promote", promoted_at_once),), "", "majority: of what it has stored"),
+    "guest": Guard(((voters, "admit", newcomers_vote),)),
+    "caught-up": Guard(((Register, "caught_up", promoted_at_once),), "", "majority: of what it has stored"),
     "identity": Guard(((World, "empty", same_identity),)),
     "majority": Guard(((Member, "advance", less_than_a_majority),)),
     "own-term": Guard(((Member, "advance", any_term),), "old_entries"),
--- a/latchspoke/configstore/register.py
+++ b/latchspoke/configstore/register.py
@@ -6,12 +6,12 @@
 
 A process is named by its inner address, "ip:port". Its identity is that name and a draw, made when its disk
 was empty: "first" for the founders, "v-..." for one that came with the whole system's first start, "g-..."
-for any other. The leader takes in whoever knocks. One with the name of a present member has lost its disk and
-comes in its place, first as a learner. A new name begun later is a guest: it follows, and votes only where
-the voters would else be even in number, or one of them has long been gone.
+for any other. The leader takes in whoever knocks, as a guest that follows the log; ``voters`` tells who
+votes.
 
 Between processes go objects by their "k": "raft" (a message of the log's), "ask" a command and "told" its
-verdict or "no", "prove" and "proof" for confirms, "knock" and "leads".
+verdict or "no", "prove" and "proof" for confirms; "knock" asks to be taken in, "leads" names the leader, and
+"leaves" says that the sender is about to stop.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 import contextlib
 import math
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
@@ -27,6 +27,15 @@
 import msgspec
 
 from latchspoke.configstore.orders import STALE, UNKNOWN, Command, Orders, Patch, Verdict
+from latchspoke.configstore.voters import (
+    CATCH_UP,
+    FORGET,
+    Contacts,
+    Newcomer,
+    Place,
+    View,
+    next_members,
+)
 from latchspoke.consensus.member import ChangeError, Member, NotLeaderError, Output, Role, Timing
 from latchspoke.consensus.records import Entry, Kind, Members, Snapshot, Stored, Wire, name_of
 
@@ -37,7 +46,6 @@
 SILENCE = 1.2  # s without a leader, after which a member knocks too: it may have been taken out unheard
 HOPELESS = 0.2  # s that a call waits, at most, where no leader has been known for so long
 WISH = 1.0  # s that a knock is good for
-GONE = 15.0  # s without life before a guest may take a voter's place, and before others are dropped
 COMPACT_ENTRIES = 50
 COMPACT_BYTES = 4_000_000
 # While a snapshot is on its way to a member, the log is kept up to these: a newer one would have to follow.
@@ -117,7 +125,9 @@
         draw: random.Random,
         now: float,
         timing: Timing = TIMING,
+        catch_up: float = CATCH_UP,
     ) -> None:
+        """``catch_up`` (s): a member that is back, or a successor, counts again after so long."""
         self.now = now
         self.member = Member(stored, timing, draw, now)
         self.me = name_of(stored.identity)
@@ -142,7 +152,8 @@
         self.at_work: set[tuple[str, int]] = set()
         self.reads: dict[int, tuple[str, int]] = {}
         self.wishes: dict[str, Wish] = {}
-        self.seen: dict[str, float] = {}  # when a member's process was last known to live; the leader's
+        self.contacts = Contacts(catch_up)
+        self.places: dict[str, Place] = {}  # by name; a process that is gone keeps its own
         self.led_term = 0
         self.knock_at = now
         self.led_at = now  # when a leader was last known
@@ -228,14 +239,21 @@
         self.push()
         return ticket
 
-    def peers(self, names: Collection[str], now: float) -> None:
-        """The processes of the core that are alive, by name."""
+    def peers(self, places: Mapping[str, Place], now: float) -> None:
+        """The processes of the core that are alive, by name, and where they stand."""
         self.now = now
-        self.alive = set(names) - {self.me}
+        self.alive = set(places) - {self.me}
+        self.places.update(places)
 
     def leave(self, now: float) -> bool:
-        """Hand over the lead; whether there was one to hand over, and somebody to take it."""
+        """Tell all that the vote may go elsewhere, and hand over the lead.
+
+        Whether there was a lead to hand over, and somebody to take it.
+        """
         self.now, self.leaving = now, True
+        for identity in self.member.others():
+            said = {"k": "leaves", "who": self.member.identity, "boot": self.member.boot}
+            self.outbox.append((name_of(identity), said))
         return self.leads and bool(self.member.hand_over(now))
 
     def give_up(self) -> None:
@@ -261,17 +279,24 @@
         match message["k"]:
             case "raft":
                 said: Wire = msgspec.convert(message["m"], Wire)
-                return lambda: self.member.receive(said, self.now)
-            case "knock":
-                return partial(self.on_knock, name, str(message["who"]))
-            case "leads":
-                return partial(self.on_leads, str(message["who"]))
+                return partial(self.on_raft, said)
+            case "knock" | "leads" | "leaves":
+                return self.read_presence(name, message)
             case "ask":
                 return partial(self.on_ask, name, int(message["n"]), message["c"])
             case "prove":
                 return partial(self.on_prove, name, int(message["n"]), bool(message.get("p", 0)))
         return self.read_reply(message)
 
+    def read_presence(self, name: str, message: dict[str, Any]) -> Callable[[], None]:
+        identity = str(message["who"])
+        match message["k"]:
+            case "knock":
+                return partial(self.on_knock, name, identity)
+            case "leads":
+                return partial(self.on_leads, identity)
+        return partial(self.on_leaves, name, identity, int(message["boot"]))
+
     def read_reply(self, message: dict[str, Any]) -> Callable[[], None]:
         number = int(message["n"])
         match message["k"]:
@@ -500,70 +525,61 @@
     def on_leads(self, who: str) -> None:
         self.hint = who
 
+    def on_raft(self, said: Wire) -> None:
+        self.member.receive(said, self.now)
+        self.contacts.started(said.source, said.boot)
+
+    def on_leaves(self, name: str, identity: str, boot: int) -> None:
+        """A process is about to stop. Every member notes it: the next leader may be any of them."""
+        if name_of(identity) == name and identity in self.member.members.all:
+            self.contacts.leaves(identity, boot)
+            self.steward()
+
     def steward(self) -> None:
-        """The leader's word on who takes part, one step at a time."""
+        """The leader's word on who takes part, one change at a time."""
         member = self.member
-        if not member.settled or member.log.members_index() > member.commit:
+        if not member.settled:
             return
-        if self.led_term != member.term:
-            # Nobody is gone for long as far as a new leader knows.
-            self.led_term, self.seen = member.term, {}
-        wanted = self.welcome() or self.mend()
+        self.look()
+        if member.log.members_index() > member.commit:
+            return
+        wanted = next_members(self.view(), self.newcomers())
         if wanted is not None:
             with contextlib.suppress(ChangeError):
                 member.change(wanted, self.now)
 
-    def welcome(self) -> Members | None:
-        """Whoever knocks and is no member."""
-        old = self.member.members
+    def look(self) -> None:
+        """What this leader has heard of the others up to now."""
+        member, now = self.member, self.now
+        if self.led_term != member.term:
+            self.led_term = member.term
+            self.contacts.begin(now)
+        answering = {identity for identity, peer in member.peers.items() if member.fresh(peer, now)}
+        self.contacts.look(now, member.members.quorum(answering | {member.identity}))
+        for identity, peer in member.peers.items():
+            self.contacts.hear(identity, peer.heard_at)
+
+    def newcomers(self) -> list[Newcomer]:
+        """Those who have asked lately and are no members yet."""
+        members = self.member.members.all
         for name, wish in list(self.wishes.items()):
-            if self.now >= wish.until or wish.identity in old.all:
+            if self.now >= wish.until or wish.identity in members:
                 del self.wishes[name]
-                continue
-            before = [identity for identity in old.all if name_of(identity) == name]
-            votes = any(identity in old.voters + old.learners for identity in before)
-            votes |= not before and "#v-" in wish.identity and name not in old.former
-            rest, identity = without(old, before), (wish.identity,)
-            if votes:
-                return msgspec.structs.replace(rest, learners=rest.learners + identity)
-            return msgspec.structs.replace(rest, guests=rest.guests + identity)
-        return None
-
-    def mend(self) -> Members | None:
-        """A guest for an even number of voters or for one long gone; others long gone are dropped."""
-        old, now = self.member.members, self.now
-        for identity in old.all:
-            peer = self.member.peers.get(identity)
-            name = name_of(identity)
-            if name in self.alive or name == self.me or (peer and self.member.fresh(peer, now)):
-                self.seen[name] = now
-            else:
-                self.seen.setdefault(name, now)
-        gone = [identity for identity in old.all if now - self.seen[name_of(identity)] >= GONE]
-        idle = [identity for identity in gone if identity not in old.voters]
-        if idle:
-            return without(old, idle)
-        ready = [identity for identity in old.guests if self.caught_up(identity, now)]
-        if not ready or old.learners:
-            return None
-        if len(old.voters) % 2 == 0:
-            rest = without(old, ready[:1])
-            return msgspec.structs.replace(rest, learners=(ready[0],))
-        lost = [identity for identity in gone if identity in old.voters]
-        if lost:
-            rest = without(old, lost[:1])
-            return msgspec.structs.replace(rest, former=(*old.former, name_of(lost[0])))
-        return None
+        return [Newcomer(wish.identity) for wish in self.wishes.values()]
+
+    def view(self) -> View:
+        """What decides on the members, as this leader knows it."""
+        member, contacts, now = self.member, self.contacts, self.now
+        others = member.others()
+        return View(
+            me=member.identity,
+            members=member.members,
+            ready=frozenset(guest for guest in member.members.guests if self.caught_up(guest, now)),
+            lost=frozenset(identity for identity in others if contacts.lost(identity, now)),
+            forgotten=frozenset(identity for identity in others if contacts.silence(identity, now) >= FORGET),
+            places=self.places,
+        )
 
     def caught_up(self, identity: str, now: float) -> bool:
         peer = self.member.peers.get(identity)
         return peer is not None and self.member.fresh(peer, now) and peer.match >= self.member.commit
-
-
-def without(members: Members, those: Collection[str]) -> Members:
-    """At most one voter may be among those."""
-    voters, learners, guests = (
-        tuple(identity for identity in group if identity not in those)
-        for group in (members.voters, members.learners, members.guests)
-    )
-    return Members(voters, learners, members.former, guests)
--- a/latchspoke/configstore/replica.py
+++ b/latchspoke/configstore/replica.py
@@ -10,13 +10,14 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
 from latchspoke.agent.ledger import Ledger, LedgerError
 from latchspoke.configstore.orders import UNKNOWN, Command, Orders, Patch, Verdict
 from latchspoke.configstore.register import Answer, Register, draw_of, founding
+from latchspoke.configstore.voters import CATCH_UP, Place
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import name_of
 
@@ -50,11 +51,16 @@
         clock: Callable[[], float] = time.monotonic,
         log: Log = silent,
         draw: random.Random | None = None,
+        catch_up: float = CATCH_UP,
     ) -> None:
-        """``founders``: the seeds; ``first``: the whole system's first start. Raises LedgerError."""
+        """``founders``: the seeds; ``first``: the whole system's first start; ``catch_up`` (s): see Register.
+
+        Raises LedgerError.
+        """
         self.draw = draw or random.Random()
         self.me, self.send, self.on_applied, self.clock, self.log = me, send, on_applied, clock, log
         self.founders, self.first, self.apply_patch = founders, first, apply_patch
+        self.catch_up = catch_up
         self.ledger = Ledger(home / FILE, alone=True)
         try:
             self.register = self.begin()
@@ -77,7 +83,9 @@
         draw = draw_of(self.me, self.founders, self.first, secrets.token_hex(4))
         image = founding(self.founders, Orders(self.apply_patch))
         stored = self.ledger.start(self.me, draw, draw == "first", image)
-        return Register(stored, self.founders, self.apply_patch, self.draw, self.clock())
+        return Register(
+            stored, self.founders, self.apply_patch, self.draw, self.clock(), catch_up=self.catch_up
+        )
 
     @property
     def orders(self) -> Orders:
@@ -102,8 +110,9 @@
 
     async def stop(self) -> None:
         """A leader hands over first, so that nobody waits for an election. What waits here is unknown."""
-        if not self.idle and self.register.leave(self.clock()):
-            self.turn()
+        led = not self.idle and self.register.leave(self.clock())
+        self.turn()
+        if led:
             until = self.clock() + HANDOVER
             while self.register.leads and self.clock() < until:
                 await asyncio.sleep(0.01)
@@ -136,9 +145,9 @@
             self.fail(e)
         self.wake()
 
-    def peers(self, names: Collection[str]) -> None:
-        """The processes of the core that are alive now, this one counted or not."""
-        self.register.peers(names, self.clock())
+    def peers(self, places: Mapping[str, Place]) -> None:
+        """The processes of the core that are alive now, this one counted or not, and where they stand."""
+        self.register.peers(places, self.clock())
 
     async def submit(self, command: Command, limit: float = 0.9) -> Verdict:
         """The verdict once it stands for good; ``unknown`` (it may still be taken) after ``limit`` (s)."""
@@ -239,7 +248,7 @@
         self.set_timer(REVIVE)
 
     def revive(self) -> None:
-        alive = self.register.alive
+        known = {name: self.register.places[name] for name in self.register.alive}
         try:
             self.register = self.begin()
         except LedgerError as e:
@@ -247,7 +256,7 @@
             self.set_timer(REVIVE)
             return
         self.failed = False
-        self.register.peers(alive, self.clock())
+        self.register.peers(known, self.clock())
 
     def work(self) -> bool:
         """Whether the disk took all."""
--- a/latchspoke/configstore/simulation.py
+++ b/latchspoke/configstore/simulation.py
@@ -15,6 +15,7 @@
 
 from latchspoke.configstore.orders import Command, Orders, Verdict
 from latchspoke.configstore.register import Answer, Register, draw_of, founding
+from latchspoke.configstore.voters import CATCH_UP, NOWHERE, Place
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import Entry, Snapshot, Stored, Vow
 
@@ -61,11 +62,19 @@
 class World:
     """``count`` processes, the first three of them the seeds; all that is decided by chance is ``draw``'s."""
 
-    def __init__(self, seed: int, count: int = 5) -> None:
+    def __init__(
+        self,
+        seed: int,
+        count: int = 5,
+        places: dict[str, Place] | None = None,
+        catch_up: float = CATCH_UP,
+    ) -> None:
         self.draw = random.Random(seed)
         self.now = 0.0
         self.names = [f"10.{n}.0.1:7600" for n in range(count)]
         self.seeds = tuple(self.names[:3])
+        self.places = places or {}
+        self.catch_up = catch_up
         self.disks: dict[str, Disk] = {}
         self.up: dict[str, Register] = {}
         self.cuts: set[tuple[str, str]] = set()  # from, to
@@ -92,12 +101,19 @@
 
     def start(self, name: str) -> Register:
         draw = random.Random(self.draw.random())
-        register = Register(self.disks[name].start(), self.seeds, patch, draw, self.now)
+        register = Register(
+            self.disks[name].start(), self.seeds, patch, draw, self.now, catch_up=self.catch_up
+        )
         self.up[name] = register
-        for other in self.up.values():
-            other.peers(list(self.up), self.now)
+        self.meet()
         return register
 
+    def meet(self) -> None:
+        """Everybody knows who is up."""
+        places = {name: self.places.get(name, NOWHERE) for name in self.up}
+        for register in self.up.values():
+            register.peers(places, self.now)
+
     def kill(self, name: str, mid_turn: bool = False) -> None:
         """What was not synced is lost; ``mid_turn``: killed after the sync, before anything was said."""
         register = self.up.pop(name)
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -14,7 +14,9 @@
 from latchspoke.configstore.orders import UNCHECKED, Verdict
 from latchspoke.configstore.orders import Orders as Kept
 from latchspoke.configstore.replica import Replica
+from latchspoke.configstore.voters import CATCH_UP, Place
 from latchspoke.configuration.patch import apply_patch
+from latchspoke.consensus.records import name_of
 from latchspoke.controlplane.calls import Asked, InvalidError, locate, read_call, read_configuration
 from latchspoke.controlplane.evacuations import EvacuationCalls, Kind
 from latchspoke.controlplane.news import ServerNews
@@ -77,6 +79,7 @@
         self.replica = Replica(
             self.me, founders, s.first, Path(s.data), self.to_register, apply_patch,  # type: ignore[arg-type]
             self.applied, self.clock.now, lambda event, fields: log(event, **fields),
+            catch_up=s.bound("catchUpS", CATCH_UP),
         )  # fmt: skip
         meta = {"role": "core", "zone": s.zone, "region": s.region, "link": self.link, "ready": True}
         self.post = self.member(meta)
@@ -478,11 +481,12 @@
 
     def core_changed(self) -> None:
         alive = {
-            f"{m.host}:{m.port}" for m in self.post.membership.alive.values() if m.meta.get("role") == "core"
+            f"{m.host}:{m.port}": Place(str(m.meta.get("zone", "")), str(m.meta.get("region", "")))
+            for m in self.post.membership.alive.values()
+            if m.meta.get("role") == "core"
         }
-        member = self.replica.register.member
-        named = {name.partition("#")[0] for name in member.members.all}
-        self.peers.known(alive, named)
+        named = {name_of(identity) for identity in self.replica.register.member.members.all}
+        self.peers.known(set(alive), named)
         self.replica.peers(alive)
 
     # Life.
--- /dev/null
+++ b/tests/configstore/test_voters.py
@@ -0,0 +1,182 @@
+"""Who votes: runs of tolerated losses in virtual time, and single decisions of the leader."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from latchspoke.configstore import voters
+from latchspoke.configstore.replacements import LOSSES, Run, drawn, places
+from latchspoke.configstore.simulation import World, replace
+from latchspoke.configstore.voters import NOWHERE, VOTERS_MOST, Contacts, Newcomer, Place, View, next_members
+from latchspoke.consensus.records import Members, name_of
+
+CATCH_UP = 4.0  # s
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_runs_of_tolerated_losses_keep_a_majority_and_every_order(seed: int) -> None:
+    print(f"seed {seed}: python -m latchspoke.configstore.replacements {seed} {seed + 1}")
+    drawn(seed).play()
+
+
+@pytest.mark.parametrize("size", [3, 4, 5, 6, 7])
+@pytest.mark.parametrize("kind", LOSSES)
+def test_each_kind_of_loss_over_and_over(kind: str, size: int) -> None:
+    Run(1, size, losses=size + 2, kinds=(kind,)).play()
+
+
+def test_a_vote_that_is_given_away_too_late_loses_the_majority(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The fault that the runs are for: within the 15 s of before, too many have gone."""
+    monkeypatch.setattr(voters, "LOST_LEAST", 15.0)
+    with pytest.raises(AssertionError, match="unknown"):
+        Run(1, 5, kinds=("replaced",)).play()
+
+
+def test_the_vote_of_one_that_stops_is_given_away_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without its word, a loss right after a planned one of three finds two votes, one of them gone."""
+    monkeypatch.setattr(Contacts, "leaves", lambda contacts, identity, boot: None)
+    monkeypatch.setattr(voters, "LOST_LEAST", 15.0)
+    with pytest.raises(AssertionError, match="unknown"):
+        Run(1, 3, kinds=("planned",)).play()
+
+
+def started(size: int, seed: int = 1) -> World:
+    names = [f"10.{number}.0.1:7600" for number in range(size)]
+    world = World(seed, size, places(names), CATCH_UP)
+    world.run(3.0)
+    return world
+
+
+def regions(world: World) -> Counter[str]:
+    return Counter(world.places[name_of(voter)].region for voter in world.voters())
+
+
+@pytest.mark.parametrize("size", [9, 12, 36])
+def test_of_a_large_core_seven_vote_that_survive_the_loss_of_any_region(size: int) -> None:
+    world = started(size)
+    assert len(world.voters()) == VOTERS_MOST and max(regions(world).values()) <= 3
+    entries = world.leader().member.log.last
+    assert entries <= 16, f"newcomers come in together: {entries} entries"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_regions_may_be_lost_one_after_the_other(seed: int) -> None:
+    """Each is back for ``catchUpS`` before the next goes: by then it votes again."""
+    world = started(12, seed)
+    for version, region in enumerate(("r0", "r1", "r2", "r0")):
+        lost = [name for name in world.up if world.places[name].region == region]
+        for name in lost:
+            world.kill(name)
+        world.meet()
+        world.run(8.0)
+        for name in lost:
+            world.start(name)
+        world.run(CATCH_UP)
+        assert max(regions(world).values()) <= 3, f"{regions(world)} after {region} came back"
+        assert world.order(next(iter(world.up)), replace(version + 1, version), 2.0).ok
+
+
+def view(votes: str, guests: str = "", lost: str = "", **more: frozenset[str]) -> View:
+    """One letter a member; its name, without a digit, is its region: "a1 a2 b1"."""
+    known = frozenset(guests.split())
+    at = {name: Place(name, name[0]) for name in (votes + " " + guests).split()}
+    return View(
+        me=votes.split()[0],
+        members=Members(tuple(votes.split()), (), (), tuple(guests.split())),
+        ready=more.get("ready", known),
+        lost=frozenset(lost.split()),
+        forgotten=more.get("forgotten", frozenset()),
+        places=at,
+    )
+
+
+def step(seen: View, *newcomers: str) -> tuple[str, str] | None:
+    wanted = next_members(seen, [Newcomer(identity) for identity in newcomers])
+    return (" ".join(wanted.voters), " ".join(wanted.guests)) if wanted else None
+
+
+@pytest.mark.parametrize(
+    ("seen", "wanted"),
+    [
+        (view("a1 b1 c1"), None),
+        (view("a1 b1 c1", "a2"), None),  # four would survive no more than three
+        (view("a1 b1 c1", "a2 b2"), ("a1 b1 c1 a2", "b2")),
+        (view("a1 b1 c1 a2", "b2"), ("a1 b1 c1 a2 b2", "")),
+        (view("a1 b1 c1", lost="c1"), None),  # nobody could take its place
+        (view("a1 b1 c1", "c2", lost="c1"), ("a1 b1", "c2")),
+        (view("a1 b1", "c2"), ("a1 b1 c2", "")),
+        (view("a1 b1 c1", "c2", lost="c1", ready=frozenset()), None),  # it has not caught up
+        (view("a1 b1 c1", "c2", lost="c1 c2"), None),
+        (view("a1 b1 c1", "c2", lost="a1"), None),  # the leader doesn't judge itself
+        (view("a1 b1 c1", "c2", forgotten=frozenset({"c2"})), ("a1 b1 c1", "")),
+        (view("a1 b1 c1", forgotten=frozenset({"b1"})), None),  # a voter is never just dropped
+        (view("a1 a2 a3 b1 b2 b3 b4", "c1 c2"), ("a1 a2 a3 b1 b2 b3 b4 c1", "c2")),
+        (view("a1 a2 a3 b1 b2 b3 b4 c1", "c2"), ("a1 a2 a3 b1 b2 b3 c1", "c2 b4")),
+        (view("a1 a2 a3 b1 b2 c1 c2", "a4 b3"), None),
+        (view("a1 a2 b1 c1"), ("a1 b1 c1", "a2")),  # of four, two in one region: three survive more
+        (view("a1 a2 b1 b2 c1 c2"), None),
+    ],
+)
+def test_the_next_change_of_who_votes(seen: View, wanted: tuple[str, str] | None) -> None:
+    assert step(seen) == wanted
+
+
+def test_newcomers_come_in_together_but_take_at_most_one_vote() -> None:
+    assert step(view("a1 b1 c1"), "d1", "e1", "f1") == ("a1 b1 c1", "d1 e1 f1")
+    both = step(view("a1#x b1#x c1#x"), "b1#new", "c1#new", "d1#new")
+    assert both == ("a1#x c1#x", "b1#new d1#new"), "c1 comes with the next change"
+    assert step(view("a1#x b1#x c1#x"), "b1#x") is None
+
+
+def test_swaps_come_to_an_end() -> None:
+    """From any spread of seven votes over three regions, within a few changes."""
+    for spread in ("aaaaaaa", "aaaaabb", "aaaabbb", "aabbbcc"):
+        members = Members(tuple(f"{region}{n}" for n, region in enumerate(spread)))
+        guests = tuple(f"{region}{n}" for region in "abc" for n in (7, 8, 9))
+        members = Members(members.voters, guests=guests)
+        at = {name: Place(name, name[0]) for name in members.all}
+        for _ in range(12):
+            free = frozenset(members.guests)
+            wanted = next_members(View("a0", members, free, frozenset(), frozenset(), at), [])
+            if wanted is None:
+                break
+            members = wanted
+        counts = Counter(voter[0] for voter in members.voters)
+        assert sorted(counts.values()) == [2, 2, 3], f"{spread} ends as {members.voters}"
+
+
+def test_silence_counts_only_while_the_leader_itself_runs_and_has_a_majority() -> None:
+    contacts = Contacts(CATCH_UP)
+    assert contacts.lost_after == pytest.approx(1.0)
+    contacts.begin(0.0)
+    now = 0.0
+    for _ in range(8):
+        now += 0.15
+        contacts.look(now, majority=True)
+    assert contacts.lost("b", now), "silent for 1.2 s"
+    contacts.look(now + 5.0, majority=True)
+    assert not contacts.lost("b", now + 5.0), "the leader stood still itself"
+    now += 5.0
+    for _ in range(10):
+        now += 0.15
+        contacts.look(now, majority=False)
+    assert not contacts.lost("b", now), "it may be the leader that is cut off"
+
+
+def test_whoever_leaves_is_lost_until_it_starts_again() -> None:
+    contacts = Contacts(CATCH_UP)
+    contacts.begin(0.0)
+    contacts.leaves("b", boot=3)
+    contacts.started("b", boot=3)
+    assert contacts.lost("b", 0.0), "a message of the same start came late"
+    contacts.started("b", boot=4)
+    assert not contacts.lost("b", 0.0)
+
+
+def test_places_that_are_not_known_move_nobody() -> None:
+    seen = view("a1 a2 a3 b1 b2 b3 b4", "c1 c2")
+    places = dict(seen.places) | {"b4": NOWHERE}
+    unknown = View(seen.me, seen.members, seen.ready, seen.lost, seen.forgotten, places)
+    assert step(unknown) is None
