Pass Idempotency-Key on unchanged with each attempt of a keyed request

Change: Message holds the key, each attempt writes it; a repeated header is refused. A recorded exchange for each kind of class, and for a further try, which goes to the rack that knows the key.

--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -106,14 +106,26 @@
 
 
 class Message:
-    """What of a client's request is passed on."""
+    """What of a client's request is passed on, with each of its attempts alike.
 
-    __slots__ = ("body", "content_type", "id", "method", "upload", "url")
+    ``idempotency_key`` is the header's value as it came, empty where there is none: a server that knows it
+    drops the repeat of a request that it has run.
+    """
+
+    __slots__ = ("body", "content_type", "id", "idempotency_key", "method", "upload", "url")
 
     def __init__(
-        self, method: bytes, url: bytes, ident: bytes, body: bytes, kind: bytes, upload: Upload | None = None
+        self,
+        method: bytes,
+        url: bytes,
+        ident: bytes,
+        body: bytes,
+        content_type: bytes,
+        idempotency_key: bytes = b"",
+        upload: Upload | None = None,
     ) -> None:
-        self.method, self.url, self.id, self.body, self.content_type = method, url, ident, body, kind
+        self.method, self.url, self.id, self.body = method, url, ident, body
+        self.content_type, self.idempotency_key = content_type, idempotency_key
         self.upload = upload
 
 
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -41,7 +41,7 @@
 HEX = frozenset(b"0123456789abcdefABCDEF")
 KEY_MOST = 1 << 33  # customers' numbers are below this
 DEADLINE_MOST = 3600.0  # s
-SINGLE = frozenset((b"req-id", b"req-kind", b"x-tier", b"req-deadline", b"x-call-terms"))
+SINGLE = frozenset((b"req-id", b"req-kind", b"x-tier", b"req-deadline", b"x-call-terms", b"idempotency-key"))
 HIGH = 64 * 1024  # bytes written and not taken off yet, beyond which no more is read for a client
 CACHED_MOST = 128  # bytes; only short texts are kept, so that the caches stay small
 
@@ -321,8 +321,15 @@
         request = read_request(self.url, self.headers, core.gateway.settings)
         if reason := core.refusal(request):
             raise bad(reason)
+        headers = self.headers
         message = Message(
-            method, self.url, self.headers[b"req-id"], body, self.headers.get(b"content-type", b""), upload
+            method,
+            self.url,
+            headers[b"req-id"],
+            body,
+            headers.get(b"content-type", b""),
+            headers.get(b"idempotency-key", b""),
+            upload,
         )
         now = self.shared.clock.now()
         self.put(None)
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -436,11 +436,12 @@
             size = b"Transfer-Encoding: chunked\r\n" if connection.in_chunks else size
         elif not size and message.method != b"GET":
             size = b"Content-Length: 0\r\n"
+        key = b"Idempotency-Key: %b\r\n" % message.idempotency_key if message.idempotency_key else b""
         self.shared.stats["forwards.sent"] += 1
         self.shared.stats["forwards.whole"] += upload is None
         connection.transport.write(
-            b"%b %b HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %b\r\nReq-Deadline: %.3f\r\n%b%b\r\n%b"
-            % (message.method, message.url, message.id, left, kind, size, message.body)
+            b"%b %b HTTP/1.1\r\nHost: backend.local\r\nReq-Id: %b\r\nReq-Deadline: %.3f\r\n%b%b%b\r\n%b"
+            % (message.method, message.url, message.id, left, key, kind, size, message.body)
         )
         if upload is not None:
             connection.upload = upload
--- a/tests/player.py
+++ b/tests/player.py
@@ -282,18 +282,36 @@
         self.node.reload()
 
 
+WORTH = {"AimNs": 10**9, "GiveUpNs": 3 * 10**9, "Worth": 3.0, "LateWorth": 0.2}
+# Beside the class that is safe to repeat: one whose repeats a rack drops for 4 s, one that never runs twice.
+KEYED_AND_ONCE: list[dict[str, Any]] = [
+    WORTH | {"Name": "keyed", "Repeat": "keyed", "Group": "cell", "RepeatWindowNs": 4 * 10**9},
+    WORTH | {"Name": "once", "Repeat": "unsafe"},
+]
+
+
 def configuration(changes: dict[str, Any]) -> dict[str, Any]:
-    """One target, a plan too wide to refuse, and no counter; ``changes`` overrule this."""
+    """One target, a plan too wide to refuse, and no counter; ``changes`` overrule this.
+
+    With ``racks`` there are so many targets, each in a rack of its own, and classes of all three kinds.
+    """
     options = json.loads(json.dumps(OPTIONS))
     options["Allowed"] |= {"RetryAfter": True, "MaxRetryAfterNs": 2 * 10**9}
     options["Tariffs"] = [{"Name": "basic", "Refill": 100.0, "MostAtOnce": changes.get("burst", 100.0)}]
     options["Categories"][0]["LateWorth"] = 0.2
     options["Domain"]["SharedCounter"] = bool(changes.get("counter"))
     entry = {"instanceId": "s1", "hostPort": "127.0.0.9:1", "lifecycle": "in_service"}
+    instances = [entry] * changes.get("targets", 1)
+    if changes.get("racks"):
+        options["Categories"] += KEYED_AND_ONCE
+        instances = [
+            entry | {"instanceId": f"s{rack}", "hostPort": f"127.0.0.9:{rack}", "cell": rack}
+            for rack in range(1, changes["racks"] + 1)
+        ]
     return {
         "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.2:2", "counter": "127.0.0.3:3",
         "seed": "7", "limits": {"sockets": changes.get("sockets", 1024)}, "settings": options,
-        "known": {"generation": 41, "reset": True, "instances": [entry] * changes.get("targets", 1)},
+        "known": {"generation": 41, "reset": True, "instances": instances},
     }  # fmt: skip
 
 
