--- a/tests/player.py
+++ b/tests/player.py
@@ -300,7 +300,7 @@
     options["Tariffs"] = [{"Name": "basic", "Refill": 100.0, "MostAtOnce": changes.get("burst", 100.0)}]
     options["Categories"][0]["LateWorth"] = 0.2
     options["Domain"]["SharedCounter"] = bool(changes.get("counter"))
-    entry = {"instanceId": "s1", "hostPort": "127.0.0.9:1", "lifecycle": "in_service"}
+    entry: dict[str, Any] = {"instanceId": "s1", "hostPort": "127.0.0.9:1", "lifecycle": "in_service"}
     instances = [entry] * changes.get("targets", 1)
     if changes.get("racks"):
         options["Categories"] += KEYED_AND_ONCE
