Let news of servers cross each border between regions once, and gateways follow near sources

Counted by kind in the emulator (84 gateways, 12 control machines, 1,000 servers): each control machine told all others (6.3 MB at a start), gateways stayed for life at one of the seeds they began with, heartbeats and the word on them crossed regions at random, membership repeats its words. Change: controlplane/fanout.py (own region directly, one machine of each other region passes on; who lacks a server asks for it), wholes from one machine a region, a gateway waits a moment for a near source and moves to one later, heartbeatTarget among three or more machines of the region, updates of datagrams deflated where the receiver says that it reads them.

--- a/latchspoke/controlplane/calls.py
+++ b/latchspoke/controlplane/calls.py
@@ -75,6 +75,23 @@
     return command, [str(fault) for fault in check(doc)]
 
 
+TARGETS_LEAST = 3  # control machines of a region among which its servers' heartbeats are dealt
+
+
+def heartbeat_target(members: list[Member], suspects: Container[str], region: str, draw: Any) -> str:
+    """The host of the control machine that a server of this region is to call next, or '' to leave it to it.
+
+    Another one each time, so that a machine that is cut off from the others holds few heartbeats in a row,
+    and only where the region has several: heartbeats that cross regions are paid for.
+    """
+    near = [
+        m.host
+        for m in members
+        if m.meta.get("role") == "core" and m.meta.get("region") == region and m.name not in suspects
+    ]
+    return str(draw.choice(sorted(near))) if len(near) >= TARGETS_LEAST else ""
+
+
 def locate(members: list[Member], suspects: Container[str], zone: str, region: str, draw: Any) -> list[str]:
     """The ready gateways for a client there, only near ones where there are some: at most 64 addresses.
 
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -17,12 +17,21 @@
 from latchspoke.configstore.voters import CATCH_UP, Place
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.consensus.records import name_of
-from latchspoke.controlplane.calls import Asked, InvalidError, locate, read_call, read_configuration
+from latchspoke.controlplane.calls import (
+    Asked,
+    InvalidError,
+    heartbeat_target,
+    locate,
+    read_call,
+    read_configuration,
+)
 from latchspoke.controlplane.evacuations import EvacuationCalls, Kind
+from latchspoke.controlplane.fanout import PASS_ON, WANTED_MOST, Regions, roster
 from latchspoke.controlplane.news import ServerNews
 from latchspoke.controlplane.peers import Peers
 from latchspoke.controlplane.relays import Relays
-from latchspoke.distribution.board import Orders, Reader
+from latchspoke.distribution.board import Orders, Reader, unpack_entries
+from latchspoke.membership.post import PACKS
 from latchspoke.membership.watch import News
 from latchspoke.node_process import CORE_PORT, NodeProcess
 from latchspoke.outliers.ledger import Ledger
@@ -43,6 +52,7 @@
 ACK = 6.0  # s; so long after its first sending an evacuation may be sent again, if no bound tells
 TTL = 1.0  # s; how long a client holds the locator's answer
 CHECKS = 3  # tries to check a change against a base that moves meanwhile
+HEARD: Message = {"k": "heard"}  # the answer to what needs none: the way to its sender is sound
 STATUS = {"taken": 200, "repeated": 200, "conflict": 412, "invalid": 400}
 
 
@@ -74,14 +84,22 @@
         founders = tuple(f"{host}:{port}" for host, port in self.seeds())
         self.ledger, self.telling = Ledger(), False
         self.relays = Relays(self.me, self.draw)
-        self.peers = Peers(self.me, self.peer_joined, self.peer_answers, self.relays, self.clock.now)
+        regions = Regions(self.me, s.region, self.draw)
+        self.peers = Peers(self.me, self.peer_joined, self.peer_answers, self.relays, regions, self.clock.now)
         assert s.data is not None
         self.replica = Replica(
             self.me, founders, s.first, Path(s.data), self.to_register, apply_patch,  # type: ignore[arg-type]
             self.applied, self.clock.now, lambda event, fields: log(event, **fields),
             catch_up=s.bound("catchUpS", CATCH_UP),
         )  # fmt: skip
-        meta = {"role": "core", "zone": s.zone, "region": s.region, "link": self.link, "ready": True}
+        meta = {
+            "role": "core",
+            "zone": s.zone,
+            "region": s.region,
+            "link": self.link,
+            "ready": True,
+            PACKS: True,
+        }
         self.post = self.member(meta)
         self.to_gateways = ServerNews(self.clock, self.board.servers)
         self.to_peers = ServerNews(self.clock, self.tell_peers)
@@ -165,7 +183,9 @@
     def peer_joined(self, wire: Wire) -> None:
         """A new connection to one: it is told all that is known of servers."""
         now = self.clock.now()
-        wire.send({"k": "roster", "e": self.registry.whole(now)})
+        if self.peers.regions.tells_whole(str(wire.tag), self.peers.alive):
+            packs = str(wire.tag) in self.peers.regions.capable
+            wire.send(roster(self.registry.whole(now), packs))
         # It may have begun anew, and know neither when evacuations were ordered nor who has an answer.
         if told := self.evacuations.wire(now):
             wire.send(told)
@@ -185,19 +205,29 @@
         """From another control machine, by way of a gateway."""
         name, said = str(message["from"]), message["m"]
         self.relays.heard(name, wire, now)
-        match said["k"]:
+        if said["k"] == "got":
+            self.got(name, said)
+        else:
+            self.from_peer(name, said, now, lambda answer: self.relays.send(name, answer, now))
+
+    def from_peer(self, name: str, message: Message, now: float, answer: Callable[[Message], object]) -> bool:
+        """From another control machine, whichever way it came; whether it is such a message."""
+        match message.get("k"):
             case "reg":
-                self.replica.heard(name, said["m"])
-            case "got":
-                self.got(name, said)
+                self.replica.heard(name, message["m"])
             case "roster":
-                self.to_gateways.tell(self.registry.merge(said["e"], now), now)
-                if "n" in said:
-                    self.relays.send(name, {"k": "got", "n": said["n"]}, now)
+                answer({"k": "got", "n": message["n"]} if "n" in message else HEARD)
+                self.learn(message, now)
             case "beats":
-                self.refresh(said["b"], now)
+                answer(HEARD)
+                self.refresh(name, message, now)
+            case "want":
+                self.tell_wanted(name, message, now)
             case "moved":
-                self.evacuations.learn(said, now)
+                self.evacuations.learn(message, now)
+            case _:
+                return False
+        return True
 
     def heard(self, wire: Wire, message: Message) -> None:
         """What comes on connections that others have opened: control machines and gateways."""
@@ -207,26 +237,20 @@
         match message.get("k"):
             case "relayed":
                 self.relayed(wire, message, now)
-            case "reg":
-                self.replica.heard(str(wire.tag), message["m"])
             case "peer":
                 wire.tag = str(message["name"])
-            case "roster":
-                self.to_gateways.tell(self.registry.merge(message["e"], now), now)
-                if "n" in message:
-                    wire.send({"k": "got", "n": message["n"]})
-            case "beats":
-                self.refresh(message["b"], now)
+                if message.get("fans"):
+                    self.peers.regions.capable.add(wire.tag)
             case "hot":
                 self.evidence(wire, message, now)
-            case "moved":
-                self.evacuations.learn(message, now)
-            case kind:
+            case "hello":
                 self.teller.heard(wire, message)
-                if kind == "hello":
-                    self.relays.joined(wire)
-                if kind == "hello" and (known := self.ledger.whole(now, wire.tag.zone)):
+                self.relays.joined(wire)
+                if known := self.ledger.whole(now, wire.tag.zone):
                     wire.send({"k": "hot", "e": known})
+            case _:
+                if not self.from_peer(str(wire.tag), message, now, wire.send):
+                    self.teller.heard(wire, message)
 
     def left(self, wire: Wire, reason: str) -> None:
         super().left(wire, reason)
@@ -258,14 +282,22 @@
         if self.ledger.waiting():
             self.gather(now + EVIDENCE_AGAIN)
 
-    def refresh(self, beats: list[list[Any]], now: float) -> None:
+    def learn(self, message: Message, now: float) -> None:
+        """Servers, as another control machine knows them."""
+        self.to_gateways.tell(self.registry.merge(unpack_entries(message), now), now)
+        if PASS_ON in message:
+            self.peers.pass_on(message)
+
+    def refresh(self, sender: str, message: Message, now: float) -> None:
         """Another control machine has heard these again, and nothing else is new of them."""
-        news = []
-        for ident, sequence, age in beats:
+        news, unknown = [], []
+        for ident, sequence, age in message["b"]:
             if self.registry.heard_again(ident, sequence, now - age):
                 continue
             old = self.registry.entries.get(ident)
-            if old is not None and old.state is not State.GONE:
+            if old is None:
+                unknown.append(ident)
+            elif old.state is not State.GONE:
                 new = Entry(
                     ident, old.service, old.address, old.zone, old.slots, old.state, sequence, old.cold_until,
                     now - age,
@@ -274,16 +306,27 @@
                 if changed:
                     news.append(entry)
         self.to_gateways.tell(news, now)
+        if PASS_ON in message:
+            self.peers.pass_on(message)
+        if unknown:
+            self.peers.send(sender, {"k": "want", "i": unknown[:WANTED_MOST]})
+
+    def tell_wanted(self, asker: str, message: Message, now: float) -> None:
+        """Another control machine has heard that these live, and knows nothing else of them."""
+        entries = self.registry.entries
+        known = [entries[ident].wire(now) for ident in message["i"] if ident in entries]
+        if known:
+            self.peers.send(asker, roster(known, asker in self.peers.regions.capable))
 
     def gossip(self, now: float) -> None:
         beaten, self.beaten = self.beaten, {}
         if beaten:
             beats = [[e.ident, e.sequence, round(now - e.heard_at, 2)] for e in beaten.values()]
-            self.peers.all({"k": "beats", "b": beats})
+            self.peers.fan_out({"k": "beats", "b": beats})
 
     def tell_peers(self, entries: list[Entry], now: float) -> None:
         """News of servers, to the other control machines."""
-        self.peers.all({"k": "roster", "e": [entry.wire(now) for entry in entries]})
+        self.peers.fan_out(roster([entry.wire(now) for entry in entries], self.peers.inflates()))
 
     async def copied(self, entry: Entry) -> bool:
         """Whether a majority of the core knows of it, this machine among them.
@@ -353,7 +396,15 @@
             return self.held(entry)
         if news:
             self.to_peers.tell([entry], now)
-        return 200, {}
+        target = heartbeat_target(
+            list(self.post.membership.alive.values()),
+            self.post.membership.suspects,
+            self.settings.zones.get(entry.zone, ""),
+            self.draw,
+        )
+        return 200, {
+            "heartbeatTarget": f"{target}:{self.settings.listen['controlPlane'][1]}"
+        } if target else {}
 
     def cast(self, entry: Entry, now: float) -> None:
         """Straight to all gateways: some follow one who is cut off, dark, or not reached from here."""
@@ -486,7 +537,7 @@
             if m.meta.get("role") == "core"
         }
         named = {name_of(identity) for identity in self.replica.register.member.members.all}
-        self.peers.known(set(alive), named)
+        self.peers.known(alive, named)
         self.replica.peers(alive)
 
     # Life.
--- a/latchspoke/controlplane/peers.py
+++ b/latchspoke/controlplane/peers.py
@@ -5,8 +5,10 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
+from latchspoke.configstore.voters import Place
+from latchspoke.controlplane.fanout import PASS_ON, Regions
 from latchspoke.controlplane.relays import Relays
 from latchspoke.transport.wire import Message, Wire, dial
 
@@ -61,7 +63,7 @@
             if await dial(wire, *self.address, DIAL):
                 pause = PAUSE[0]
                 wire.tag = self.name
-                wire.send({"k": "peer", "name": self.peers.me})
+                wire.send({"k": "peer", "name": self.peers.me, "fans": 1})
                 self.peers.joined(wire)
                 while self.waiting:
                     wire.send(self.waiting.popleft())
@@ -87,16 +89,18 @@
         joined: Callable[[Wire], None],
         heard_back: Callable[[Wire, Message], None],
         relays: Relays,
+        regions: Regions,
         clock: Callable[[], float],
     ) -> None:
         self.me, self.joined, self.heard_back = me, joined, heard_back
-        self.relays, self.clock = relays, clock
+        self.relays, self.regions, self.clock = relays, regions, clock
         self.links: dict[str, Link] = {}
         self.alive: set[str] = set()
 
-    def known(self, names: set[str], keep: set[str]) -> None:
+    def known(self, places: Mapping[str, Place], keep: set[str]) -> None:
         """Those that are alive; ``keep``: also those that may come back, as the register counts on them."""
-        self.alive = names
+        names = self.alive = set(places)
+        self.regions.of.update((name, place.region) for name, place in places.items())
         for name in sorted((names | keep) - {self.me}):
             if name not in self.links:
                 self.links[name] = Link(self, name)
@@ -114,6 +118,20 @@
         """To every one that is connected, or reached by way of a gateway; who that is."""
         return [name for name, link in self.links.items() if self.give(link, message, False)]
 
+    def fan_out(self, message: Message) -> None:
+        """To all that are connected; it crosses each border between regions once."""
+        now = self.clock()
+        reached = [name for name, link in self.links.items() if link.wire is not None or name in self.alive]
+        targets = self.regions.targets(reached, lambda name: not self.links[name].doubtful(now))
+        for name, pass_on in targets.items():
+            self.give(self.links[name], message | {PASS_ON: 1} if pass_on else message, False)
+
+    def pass_on(self, message: Message) -> None:
+        """What came from another region, to those beside this machine."""
+        plain = {field: value for field, value in message.items() if field != PASS_ON}
+        for name in self.regions.near(self.links):
+            self.give(self.links[name], plain, False)
+
     def give(self, link: Link, message: Message, keep: bool = True) -> bool:
         """To one, by each way that may be of use; whether it was on its way. ``keep``: until connected."""
         now = self.clock()
@@ -129,6 +147,10 @@
         if (link := self.links.get(name)) is not None:
             link.heard(self.clock())
 
+    def inflates(self) -> bool:
+        """Whether all that are alive can read servers that are deflated."""
+        return self.alive - {self.me} <= self.regions.capable
+
     @property
     def connected(self) -> int:
         return sum(link.wire is not None and not link.wire.over for link in self.links.values())
--- a/latchspoke/dataplane/feed.py
+++ b/latchspoke/dataplane/feed.py
@@ -30,6 +30,11 @@
 PAUSE = (0.1, 0.6)  # s between tries
 LEAST = 0.05  # s between two looks at a source
 BACK = 2.0  # s between looks for a control machine while a gateway tells
+ACQUAINTED = (
+    0.1  # s from the first word on other processes until a far source is taken for want of a near one
+)
+UNACQUAINTED = 0.5  # s from the start until a far source is taken though no other process is known
+MOVE = (4.0, 10.0)  # s on a far source until a near one that is alive takes its place
 FORGOTTEN = 8.0  # s that a server may be unknown to the source before it has ended here too
 
 Address = tuple[str, int]
@@ -37,7 +42,7 @@
 
 @dataclass(slots=True)
 class Source:
-    """Somebody who can tell."""
+    """Somebody who can tell. The region of a seed of whom nothing else is known is ''."""
 
     name: str
     address: Address
@@ -71,6 +76,8 @@
     stopped: bool = False
     served: bool = False  # this connection has brought the whole
     first: bool = True  # no proof has come on it yet
+    begun_at: float = 0.0
+    acquainted_at: float | None = None  # when another process than the seeds was first known
 
     @property
     def board(self) -> Board:
@@ -83,11 +90,15 @@
 
     async def run(self) -> None:
         """For the life of the process."""
+        self.begun_at = self.clock.now()
         while not self.stopped:
             source = self.choose(self.clock.now())
             if source is None:
                 await asyncio.sleep(PAUSE[0])
                 continue
+            if self.waits(source, self.clock.now()):
+                await asyncio.sleep(LEAST / 2)
+                continue
             wire = Wire(self.heard, self.ended)
             if await dial(wire, *source.address, DIAL):
                 await self.follow(wire, source)
@@ -110,6 +121,26 @@
 
         return min(sources, key=order, default=None)
 
+    def waits(self, source: Source, now: float) -> bool:
+        """Whether a near source may be known in a moment: a process that begins knows only the seeds.
+
+        What a source tells crosses regions as often as there are gateways beyond its own.
+        """
+        if source.region == self.region or source.address in self.failed:
+            return False
+        if self.acquainted_at is None and any(known.region for known in self.sources()):
+            self.acquainted_at = now
+        if self.acquainted_at is None:
+            return now - self.begun_at < UNACQUAINTED
+        return now - self.acquainted_at < ACQUAINTED
+
+    def nearer(self, source: Source, now: float) -> bool:
+        """Whether a control machine of this region is alive and didn't fail lately, other than ``source``."""
+        if source.gateway or source.region == self.region:
+            return False
+        best = self.choose(now)
+        return best is not None and not best.gateway and best.region == self.region
+
     async def follow(self, wire: Wire, source: Source) -> None:
         """Until it breaks, says nothing, or something better may be had."""
         self.wire, self.source, self.served = wire, source, False
@@ -121,6 +152,7 @@
         hello = {"k": "hello", "name": self.name, "zone": self.zone, "packs": True}
         wire.send(hello | {"index": orders.index, "version": orders.version})
         received = 0
+        move_at = begun + self.draw.uniform(*MOVE)
         while not wire.over and not self.stopped:
             now = self.clock.now()
             if wire.received - received > MOVING and now - begun < LONGEST:
@@ -134,6 +166,9 @@
                 self.failed = {a: t for a, t in self.failed.items() if a == source.address}
                 wire.end("looks for a control machine")
                 break
+            if now >= move_at and self.nearer(source, now):
+                wire.end("goes on at a nearer source")
+                break
             self.tag += 1
             self.asked[self.tag] = now
             wire.send({"k": "prove", "t": self.tag})
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -20,6 +20,7 @@
 from latchspoke.dataplane.front import ClientConnection, Front
 from latchspoke.dataplane.relay import Relay
 from latchspoke.distribution.board import Follower, Lease
+from latchspoke.membership.post import PACKS
 from latchspoke.membership.watch import News
 from latchspoke.net.clock import Clock, Timer
 from latchspoke.net.http import GRACE, Dialer, Shared, Sockets, pending
@@ -151,7 +152,7 @@
         front = s.listen.get("frontPlain", ("", 0))
         return {
             "role": "edge", "zone": s.zone, "region": s.region, "front": f"{front[0]}:{front[1]}",
-            "link": self.link, "ready": ready,
+            "link": self.link, "ready": ready, PACKS: True,
             "door": s.listen.get("readiness", ("", 0))[1], "old": self.old,
         } | ({"leaves": True} if self.front.stopping else {}) | (
             {} if self.old or self.late is None else {"late": self.late}
--- a/latchspoke/lab/system/servers.py
+++ b/latchspoke/lab/system/servers.py
@@ -131,6 +131,13 @@
         )  # fmt: skip
 
 
+def named_target(answer: bytes) -> Address | None:
+    """The address that the answer to a heartbeat names for later ones."""
+    named = str(msgspec.json.decode(answer or b"{}").get("heartbeatTarget", ""))
+    host, _, port = named.rpartition(":")
+    return (host, int(port)) if host else None
+
+
 class Life:
     """One life of one server."""
 
@@ -213,11 +220,11 @@
             addresses.remove(self.target)
             addresses.insert(0, self.target)
         for address in addresses[:4]:
-            status, _, _ = await call(
+            status, _, answer = await call(
                 self.loop, address, "POST", f"/rpc?call={name}&of={self.ident}", body, 1.0
             )
             if 200 <= status < 300:
-                self.target = address
+                self.target = named_target(answer) or address
                 return address[0]
         self.target = None
         return ""
--- a/latchspoke/membership/post.py
+++ b/latchspoke/membership/post.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
+from latchspoke.membership.packing import pack, unpack
 from latchspoke.membership.watch import Membership, News
 from latchspoke.membership.words import Address
 from latchspoke.transport.netstring import FrameError, Frames, frame
 
 MOST = 4096  # bytes of a datagram that is read at all
 CAST = "cast"  # the kind of what travels beside the membership's own messages
+PACKS = "packs"  # the field of a member's meta that says that it reads deflated updates
 
 
 class Post(asyncio.DatagramProtocol):
@@ -31,6 +33,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.at = -1.0  # when the timer fires, by the clock
+        self.packs: set[Address] = set()  # those who read deflated updates
         self.sent = self.sent_bytes = self.received = self.dropped = self.failed = 0
 
     async def start(self, host: str, port: int) -> None:
@@ -84,7 +87,12 @@
             if self.overheard is not None:
                 self.overheard(found[0])
             return
-        self.membership.heard(found[0], (addr[0], addr[1]), self.clock())
+        try:
+            message = unpack(found[0])
+        except ValueError:
+            self.dropped += 1
+            return
+        self.membership.heard(message, (addr[0], addr[1]), self.clock())
         self.flush()
 
     def error_received(self, exc: Exception) -> None:
@@ -93,8 +101,10 @@
     def flush(self) -> None:
         """Sends what the membership has to send, sets the timer, then tells what is new."""
         output = self.membership.take()
+        for news in output.news:
+            self.note(news)
         for address, message in output.messages:
-            data = frame(message)
+            data = frame(pack(message) if address in self.packs else message)
             self.sent += 1
             self.sent_bytes += len(data)
             if self.transport:
@@ -103,6 +113,14 @@
         for news in output.news:
             self.news(news)
 
+    def note(self, news: News) -> None:
+        """Whether a process reads deflated updates: another release may follow at the same address."""
+        address = news.member.address
+        if news.kind != "gone" and news.member.meta.get(PACKS):
+            self.packs.add(address)
+        elif news.kind in ("gone", "joined"):
+            self.packs.discard(address)
+
     def _arm(self) -> None:
         due = self.membership.due()
         if self.timer and self.at == due:
--- a/tests/controlplane/test_relays.py
+++ b/tests/controlplane/test_relays.py
@@ -9,6 +9,7 @@
 import pytest
 
 from latchspoke.controlplane import relays
+from latchspoke.controlplane.fanout import Regions
 from latchspoke.controlplane.peers import DOUBTFUL, Link, Peers
 from latchspoke.controlplane.relays import Relays
 
@@ -37,7 +38,10 @@
     known = Relays("10.1.0.11:7601", Random(1))
     for wire in gateways:
         known.joined(cast(Any, wire))
-    peers = Peers("10.1.0.11:7601", lambda wire: None, lambda wire, message: None, known, lambda: clock[0])
+    regions = Regions("10.1.0.11:7601", "", Random(1))
+    peers = Peers(
+        "10.1.0.11:7601", lambda wire: None, lambda wire, message: None, known, regions, lambda: clock[0]
+    )
     link = object.__new__(Link)
     link.peers, link.name, link.unanswered, link.heard_at = peers, OTHER, None, 0.0
     link.wire = cast(Any, Wire())
--- a/tests/dataplane/test_feed.py
+++ b/tests/dataplane/test_feed.py
@@ -50,7 +50,7 @@
         await self.loop.create_server(lambda: Wire(heard, lambda wire, why: None), *source.address)
 
     async def day(self, before: float, after: float) -> None:
-        for source in {source.address: source for source in self.sources}.values():
+        for source in {source.address: source for source in (*self.sources, NEAR, BESIDE, FAR)}.values():
             await self.listen(source)
         task = asyncio.ensure_future(self.feed.run())
         await asyncio.sleep(before)
@@ -93,3 +93,39 @@
         left = [source for source in left if source is not chosen]
         gateway.feed.failed.setdefault(NEAR.address, now - 1)
     assert order[0] == FAR.name and set(order[-2:]) == {NEAR.name, "seed"}
+
+
+SEED = Source("seed 10.1.0.1", FAR.address, "", "")
+
+
+def followed(gateway: Gateway) -> list[str]:
+    """Whose proofs came, each source once, in order."""
+    return list(dict.fromkeys(name for _, name in gateway.proven))
+
+
+def test_a_gateway_that_begins_waits_for_a_near_source_but_not_for_long() -> None:
+    """All that a process knows at first is the seeds: most gateways of a start would follow these few."""
+    gateway = Gateway(1, [SEED])
+    gateway.loop.call_later(0.3, gateway.sources.extend, [FAR, NEAR])
+    gateway.loop.run_until_complete(gateway.day(2.0, 0.0))
+    assert followed(gateway) == [NEAR.name]
+    alone = Gateway(1, [SEED])
+    alone.loop.run_until_complete(alone.day(1.0, 0.0))
+    assert followed(alone) == [FAR.name] and alone.proven[0][0] < 0.6
+
+
+def test_a_gateway_goes_on_at_a_near_source_that_is_known_later() -> None:
+    gateway = Gateway(1, [FAR])
+    gateway.loop.call_later(1.0, gateway.sources.append, NEAR)
+    gateway.loop.run_until_complete(gateway.day(12.0, 0.0))
+    assert followed(gateway) == [FAR.name, NEAR.name]
+    changed = min(at for at, name in gateway.proven if name == NEAR.name)
+    last = max(at for at, name in gateway.proven if name == FAR.name)
+    assert changed - last < 1.2, "its right to act goes on meanwhile"
+
+
+def test_a_gateway_stays_at_a_far_source_while_the_near_one_has_failed_lately() -> None:
+    gateway = Gateway(1, [FAR, NEAR])
+    gateway.feed.failed[NEAR.address] = math.inf
+    gateway.loop.run_until_complete(gateway.day(12.0, 0.0))
+    assert followed(gateway) == [FAR.name]
