Type the messages of the replicated store, in one module

Cause: maps by one letter, matched by string in three functions of register.py. Change: configstore/messages.py holds tagged records with the same bytes on the wire; Register.take_in dispatches them, also what a process says to itself. Its own question is Question, no longer Proof. No behaviour changes.

--- a/latchspoke/configstore/guards.py
+++ b/latchspoke/configstore/guards.py
@@ -16,6 +16,7 @@
 
 from latchspoke.configstore import voters
 from latchspoke.configstore.drills import Play
+from latchspoke.configstore.messages import Proof, Told
 from latchspoke.configstore.orders import TAKEN, Command, Orders, Verdict
 from latchspoke.configstore.register import Register, Waits, founding
 from latchspoke.configstore.simulation import Disk, World, patch
@@ -80,7 +81,7 @@
 
 def no_turn(register: Register, name: str, number: int, patient: bool = False) -> None:
     index = register.member.commit if register.leads else -1
-    register.reply(name, {"k": "proof", "n": number, "i": index})
+    register.reply(name, Proof(number, index))
 
 
 def same_identity(world: World, name: str, first: bool = False) -> None:
@@ -119,7 +120,7 @@
 def too_soon(register: Register, name: str, number: int, command: Command) -> None:
     ON_ASK(register, name, number, command)
     if (name, number) in register.at_work:
-        register.reply(name, {"k": "told", "n": number, "v": [TAKEN]})
+        register.reply(name, Told(number, Verdict(TAKEN)))
 
 
 def twice(register: Register, name: str, number: int, command: Command) -> None:
@@ -141,9 +142,9 @@
 
 
 def any_proof(register: Register, number: int, index: int) -> None:
-    if register.proof is None:
+    if register.question is None:
         return
-    tickets, register.proof = register.proof.tickets, None
+    tickets, register.question = register.question.tickets, None
     if index < 0:
         register.queue, register.prove_at = tickets + register.queue, register.now + 0.05
         return
@@ -153,8 +154,8 @@
 
 def joins(register: Register, leader: str) -> None:
     """A question that is under way is taken for later callers, too."""
-    if register.proof is not None and register.proof.to == leader:
-        register.proof.tickets += register.queue
+    if register.question is not None and register.question.to == leader:
+        register.question.tickets += register.queue
         register.queue = []
     PROVE(register, leader)
 
--- a/latchspoke/configstore/register.py
+++ b/latchspoke/configstore/register.py
@@ -9,9 +9,7 @@
 for any other. The leader takes in whoever knocks, as a guest that follows the log; ``voters`` tells who
 votes.
 
-Between processes go objects by their "k": "raft" (a message of the log's), "ask" a command and "told" its
-verdict or "no", "prove" and "proof" for confirms; "knock" asks to be taken in, "leads" names the leader, and
-"leaves" says that the sender is about to stop.
+``messages`` holds what processes say to one another.
 """
 
 from __future__ import annotations
@@ -19,13 +17,14 @@
 import contextlib
 import math
 import random
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
-from functools import partial
 from typing import Any
 
 import msgspec
 
+from latchspoke.configstore import messages
+from latchspoke.configstore.messages import Ask, Knock, Leads, Leaves, Message, No, Proof, Prove, Raft, Told
 from latchspoke.configstore.orders import STALE, UNKNOWN, Command, Orders, Patch, Verdict
 from latchspoke.configstore.voters import (
     CATCH_UP,
@@ -52,7 +51,7 @@
 HELD_ENTRIES = 1_000
 HELD_BYTES = 16_000_000
 
-Sent = tuple[str, dict[str, Any]]
+Sent = tuple[str, Message]  # the name of a process, and what goes there
 Answer = Verdict | int | None  # to a submit, and to a confirm
 
 
@@ -68,8 +67,8 @@
 
 
 @dataclass(slots=True)
-class Proof:
-    """A question to the leader for a batch of callers."""
+class Question:
+    """One to the leader for a batch of callers: up to which index must be applied here."""
 
     number: int
     tickets: list[int]
@@ -142,7 +141,7 @@
         # Numbers begin by chance: those of an earlier life of this process may still be under way.
         self.number = draw.getrandbits(48)
         self.calls: dict[int, Call] = {}
-        self.proof: Proof | None = None
+        self.question: Question | None = None
         self.tickets: dict[int, float] = {}  # confirms and their limits
         self.queue: list[int] = []  # for the next proof
         self.prove_at = -math.inf
@@ -189,8 +188,8 @@
         times += self.tickets.values()
         if self.leader:
             times += [c.sent_at + (AGAIN if c.to else PAUSE) for c in self.calls.values() if self.ready(c)]
-            if self.proof is not None:
-                times.append(self.proof.sent_at + AGAIN)
+            if self.question is not None:
+                times.append(self.question.sent_at + AGAIN)
             elif self.queue and self.admitted:
                 times.append(self.prove_at)
         if self.member.role is not Role.HALTED:
@@ -252,8 +251,7 @@
         """
         self.now, self.leaving = now, True
         for identity in self.member.others():
-            said = {"k": "leaves", "who": self.member.identity, "boot": self.member.boot}
-            self.outbox.append((name_of(identity), said))
+            self.outbox.append((name_of(identity), Leaves(self.member.identity, self.member.boot)))
         return self.leads and bool(self.member.hand_over(now))
 
     def give_up(self) -> None:
@@ -268,45 +266,33 @@
         """From a process. What can't be read is dropped."""
         self.now = now
         try:
-            deed = self.read(name, message)
-        except (KeyError, TypeError, ValueError):  # msgspec's errors are ValueErrors
+            said = messages.read(message)
+        except ValueError:
             return
-        deed()
+        self.take_in(name, said)
         self.push()
 
-    def read(self, name: str, message: dict[str, Any]) -> Callable[[], None]:
-        """What a message wants done. Raises KeyError, TypeError, ValueError."""
-        match message["k"]:
-            case "raft":
-                said: Wire = msgspec.convert(message["m"], Wire)
-                return partial(self.on_raft, said)
-            case "knock" | "leads" | "leaves":
-                return self.read_presence(name, message)
-            case "ask":
-                return partial(self.on_ask, name, int(message["n"]), message["c"])
-            case "prove":
-                return partial(self.on_prove, name, int(message["n"]), bool(message.get("p", 0)))
-        return self.read_reply(message)
-
-    def read_presence(self, name: str, message: dict[str, Any]) -> Callable[[], None]:
-        identity = str(message["who"])
-        match message["k"]:
-            case "knock":
-                return partial(self.on_knock, name, identity)
-            case "leads":
-                return partial(self.on_leads, identity)
-        return partial(self.on_leaves, name, identity, int(message["boot"]))
-
-    def read_reply(self, message: dict[str, Any]) -> Callable[[], None]:
-        number = int(message["n"])
-        match message["k"]:
-            case "told":
-                return partial(self.on_told, number, msgspec.convert(message["v"], Verdict))
-            case "no":
-                return partial(self.on_no, number)
-            case "proof":
-                return partial(self.on_proof, number, int(message["i"]))
-        raise ValueError(message["k"])
+    def take_in(self, name: str, said: Message) -> None:
+        """A message, from another process or this one."""
+        match said:
+            case Raft():
+                self.on_raft(said.message)
+            case Ask():
+                self.on_ask(name, said.question, said.command)
+            case Prove():
+                self.on_prove(name, said.question, bool(said.patient))
+            case Told():
+                self.on_told(said.question, said.verdict)
+            case No():
+                self.on_no(said.question)
+            case Proof():
+                self.on_proof(said.question, said.index)
+            case Knock():
+                self.on_knock(name, said.identity)
+            case Leads():
+                self.on_leads(said.identity)
+            case Leaves():
+                self.on_leaves(name, said.identity, said.boot)
 
     # The driver's turn.
 
@@ -324,8 +310,7 @@
         self.now = now
         self.bytes += sum(len(entry.body) for entry in output.entries)
         for message in output.messages:
-            body = {"k": "raft", "m": msgspec.to_builtins(message)}
-            self.outbox.append((name_of(message.target), body))
+            self.outbox.append((name_of(message.target), Raft(message)))
         if output.restore is not None:
             self.restore(output.restore)
         for entry in output.committed:
@@ -376,12 +361,12 @@
             self.let_go(placed)
             return
         self.at_work.discard((placed.name, placed.number))
-        self.reply(placed.name, {"k": "told", "n": placed.number, "v": msgspec.to_builtins(verdict)})
+        self.reply(placed.name, Told(placed.number, verdict))
 
     def let_go(self, placed: Placed) -> None:
         """Nothing is known of it here any more; its sender asks the next leader."""
         self.at_work.discard((placed.name, placed.number))
-        self.reply(placed.name, {"k": "no", "n": placed.number})
+        self.reply(placed.name, No(placed.number))
 
     def release(self) -> None:
         """Confirms whose index is applied."""
@@ -414,7 +399,7 @@
                 command = call.command
                 if command.get("do") in ("evacuate", "restore"):
                     command = {**command, "after": self.applied}
-                self.reply(name_of(leader), {"k": "ask", "n": number, "c": command})
+                self.reply(name_of(leader), Ask(number, command))
         self.prove(leader)
 
     def on_told(self, number: int, verdict: Verdict) -> None:
@@ -435,24 +420,24 @@
     # Proofs, at the process that was asked.
 
     def prove(self, leader: str) -> None:
-        proof, now = self.proof, self.now
-        if proof is not None:
-            if proof.to == leader and now < proof.sent_at + AGAIN:
+        question, now = self.question, self.now
+        if question is not None:
+            if question.to == leader and now < question.sent_at + AGAIN:
                 return
             # Whoever waited begins anew: a later proof is as good for an earlier call.
-            self.queue, self.proof = proof.tickets + self.queue, None
+            self.queue, self.question = question.tickets + self.queue, None
         self.queue = [ticket for ticket in self.queue if ticket in self.tickets]
         if not self.queue or now < self.prove_at or not self.admitted:
             return
         self.number += 1
         patient = self.urgent.isdisjoint(self.queue)
-        self.proof, self.queue = Proof(self.number, self.queue, leader, now), []
-        self.reply(name_of(leader), {"k": "prove", "n": self.number, "p": int(patient)})
+        self.question, self.queue = Question(self.number, self.queue, leader, now), []
+        self.reply(name_of(leader), Prove(self.number, patient))
 
     def on_proof(self, number: int, index: int) -> None:
-        if self.proof is None or self.proof.number != number:
+        if self.question is None or self.question.number != number:
             return
-        tickets, self.proof = self.proof.tickets, None
+        tickets, self.question = self.question.tickets, None
         if index < 0:
             self.queue, self.prove_at = tickets + self.queue, self.now + PAUSE
             return
@@ -466,10 +451,10 @@
 
     # The leader's part.
 
-    def reply(self, name: str, message: dict[str, Any]) -> None:
+    def reply(self, name: str, message: Message) -> None:
         """To a process, which may be this one."""
         if name == self.me:
-            self.read(name, message)()
+            self.take_in(name, message)
         else:
             self.outbox.append((name, message))
 
@@ -481,7 +466,7 @@
                 raise NotLeaderError("")
             entry = self.member.propose(msgspec.json.encode(command), self.now)
         except NotLeaderError:
-            self.reply(name, {"k": "no", "n": number})
+            self.reply(name, No(number))
             return
         self.at_work.add((name, number))
         old = self.placed.pop(entry.index, None)
@@ -500,7 +485,7 @@
 
     def say_proof(self, ident: int, index: int) -> None:
         name, number = self.reads.pop(ident)
-        self.reply(name, {"k": "proof", "n": number, "i": index})
+        self.reply(name, Proof(number, index))
 
     # Who takes part.
 
@@ -511,7 +496,7 @@
             return
         self.knock_at = now + KNOCK
         for name in sorted({*self.alive, *self.seeds} - {self.me}):
-            self.outbox.append((name, {"k": "knock", "who": self.member.identity}))
+            self.outbox.append((name, Knock(self.member.identity)))
 
     def on_knock(self, name: str, identity: str) -> None:
         if name_of(identity) != name or name == self.me:
@@ -520,7 +505,7 @@
             self.wishes[name] = Wish(identity, self.now + WISH)
             self.steward()
         if self.member.leader:
-            self.outbox.append((name, {"k": "leads", "who": self.member.leader}))
+            self.outbox.append((name, Leads(self.member.leader)))
 
     def on_leads(self, who: str) -> None:
         self.hint = who
--- a/latchspoke/configstore/replica.py
+++ b/latchspoke/configstore/replica.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from latchspoke.agent.ledger import Ledger, LedgerError
+from latchspoke.configstore.messages import Message
 from latchspoke.configstore.orders import UNKNOWN, Command, Orders, Patch, Verdict
 from latchspoke.configstore.register import Answer, Register, draw_of, founding
 from latchspoke.configstore.voters import CATCH_UP, Place
@@ -28,7 +29,7 @@
 REVIVE = 0.5  # s after a fault of the program until the register begins anew from the disk
 PROOF = 5.0  # s; the first proof of a life is asked for again after so long
 
-Send = Callable[[str, dict[str, Any]], None]
+Send = Callable[[str, Message], None]  # to the process of a name
 Log = Callable[[str, dict[str, Any]], None]
 
 
--- a/latchspoke/configstore/simulation.py
+++ b/latchspoke/configstore/simulation.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from latchspoke.configstore.messages import Message
 from latchspoke.configstore.orders import Command, Orders, Verdict
 from latchspoke.configstore.register import Answer, Register, draw_of, founding
 from latchspoke.configstore.voters import CATCH_UP, NOWHERE, Place
@@ -126,7 +127,7 @@
         self.serial += 1
         heapq.heappush(self.events, (when, self.serial, call))
 
-    def send(self, source: str, target: str, message: dict[str, Any]) -> None:
+    def send(self, source: str, target: str, message: Message) -> None:
         if self.draw.random() < self.loss:
             return
         data = msgspec.json.encode(message)
--- a/tests/configstore/test_replica.py
+++ b/tests/configstore/test_replica.py
@@ -13,6 +13,7 @@
 import pytest
 
 from latchspoke.agent.ledger import Ledger, LedgerError
+from latchspoke.configstore.messages import Message
 from latchspoke.configstore.orders import TAKEN, UNKNOWN
 from latchspoke.configstore.register import Register
 from latchspoke.configstore.replica import FILE, Replica
@@ -37,7 +38,7 @@
         home = self.home / name
         home.mkdir(exist_ok=True)
 
-        def send(to: str, message: dict[str, Any]) -> None:
+        def send(to: str, message: Message) -> None:
             data = msgspec.json.encode(message)
             loop.call_later(0.02, self.arrive, name, to, data)
 
