--- a/latchspoke/controlplane/calls.py
+++ b/latchspoke/controlplane/calls.py
@@ -78,12 +78,16 @@
 TARGETS_LEAST = 3  # control machines of a region among which its servers' heartbeats are dealt
 
 
-def heartbeat_target(members: list[Member], suspects: Container[str], region: str, draw: Any) -> str:
-    """The host of the control machine that a server of this region is to call next, or '' to leave it to it.
+def heartbeat_target(
+    members: list[Member], suspects: Container[str], region: str, here: str, draw: Any
+) -> str:
+    """The host that a server of this region is to call from now on, or '' where it may stay.
 
-    Another one each time, so that a machine that is cut off from the others holds few heartbeats in a row,
-    and only where the region has several: heartbeats that cross regions are paid for.
+    It stays with a machine of its own region: heartbeats that cross regions are paid for. It is sent to one
+    only where there are several, so that a machine that is cut off doesn't hold all of a region.
     """
+    if region == here:
+        return ""
     near = [
         m.host
         for m in members
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -396,15 +396,18 @@
             return self.held(entry)
         if news:
             self.to_peers.tell([entry], now)
-        target = heartbeat_target(
-            list(self.post.membership.alive.values()),
-            self.post.membership.suspects,
-            self.settings.zones.get(entry.zone, ""),
-            self.draw,
-        )
-        return 200, {
-            "heartbeatTarget": f"{target}:{self.settings.listen['controlPlane'][1]}"
-        } if target else {}
+        return 200, self.near_target(entry)
+
+    def near_target(self, entry: Entry) -> dict[str, str]:
+        """What the answer to a server's heartbeat says of where its later ones are to go."""
+        membership, settings = self.post.membership, self.settings
+        region = settings.zones.get(entry.zone, "")
+        members = list(membership.alive.values())
+        host = heartbeat_target(members, membership.suspects, region, settings.region, self.draw)
+        if not host:
+            return {}
+        port = settings.listen["controlPlane"][1]  # alike on all machines
+        return {"heartbeatTarget": f"{host}:{port}"}
 
     def cast(self, entry: Entry, now: float) -> None:
         """Straight to all gateways: some follow one who is cut off, dark, or not reached from here."""
--- a/latchspoke/distribution/board.py
+++ b/latchspoke/distribution/board.py
@@ -154,18 +154,21 @@
         found = self.versions(self) if self.versions is not None else None
         return {"pools": found} if found else {}
 
-    def tell(self, message: Message) -> None:
+    def tell(self, message: Message, packed: Message | None = None) -> None:
+        """A change, numbered, to all that have the whole; ``packed``: for those who inflate servers."""
         self.number += 1
-        message["n"] = self.number
+        number = {"n": self.number}
+        plain, packed = message | number, (message if packed is None else packed) | number
         for reader in list(self.readers):
             if reader.whole:
-                reader.send(message)
+                reader.send(packed if reader.packs else plain)
 
     def servers(self, entries: Iterable[Entry], now: float) -> None:
         """These are news."""
         told = [entry.wire(now) for entry in entries]
         if told:
-            self.tell({"k": "servers", "e": told} | self.pools())
+            rest = {"k": "servers"} | self.pools()
+            self.tell(rest | {"e": told}, rest | pack_entries(told, True))
 
     def order(self, new: Orders, now: float) -> bool:
         """The operator's word has changed; whether this is newer than what was known."""
