Send heartbeats of the log to members that don't vote half as often

Cause: a leader of 36 control machines sends each of 35 a heartbeat in 0.15 s, and one more for every read that it confirms. Change: who doesn't vote is sent a round only where it lacks something, or after 0.3 s (Timing.observer).

--- a/latchspoke/configstore/register.py
+++ b/latchspoke/configstore/register.py
@@ -38,7 +38,7 @@
 from latchspoke.consensus.member import ChangeError, Member, NotLeaderError, Output, Role, Timing
 from latchspoke.consensus.records import Entry, Kind, Members, Snapshot, Stored, Wire, name_of
 
-TIMING = Timing(beat=0.15, election=0.6, first=0.1, hasten=True)
+TIMING = Timing(beat=0.15, election=0.6, first=0.1, hasten=True, observer=0.3)
 AGAIN = 0.3  # s after which a question without an answer is asked anew
 PAUSE = 0.05  # s after a refusal before the next try
 KNOCK = 0.3  # s between knocks of one that is not taken in
--- a/latchspoke/consensus/member.py
+++ b/latchspoke/consensus/member.py
@@ -76,6 +76,7 @@
     election: float = 1.0
     first: float = 0.0  # in place of ``election`` right after a start; 0: no other
     hasten: bool = False  # tell the others at once what is committed, rather than with the next beat
+    observer: float = 0.0  # between heartbeats to those who don't vote; 0: as to the others
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,8 @@
     boot: int = 0
     installing_until: float = 0.0
     outgoing: Outgoing | None = None  # a snapshot on its way to it
+    sent_at: float = -math.inf
+    told_commit: int = 0  # the commit index that it was last sent
 
 
 @dataclass(slots=True)
@@ -536,10 +539,18 @@
         if self.asked or self.patient:
             self.turns[self.turn], self.asked, self.patient = self.asked + self.patient, [], []
         for name, peer in self.peers.items():
-            self.send(name, peer, now)
+            if not self.needs_none(name, peer, now):
+                self.send(name, peer, now)
         self.confirm_reads()
 
+    def needs_none(self, name: str, peer: Peer, now: float) -> bool:
+        """Whether this round has nothing for a member that doesn't vote and was sent something lately."""
+        if name in self.members.voters or now - peer.sent_at >= self.timing.observer:
+            return False
+        return peer.next > self.log.last and peer.told_commit >= self.commit
+
     def send(self, name: str, peer: Peer, now: float) -> None:
+        peer.sent_at = now
         if peer.next < self.log.first:
             if now >= peer.installing_until:
                 peer.installing_until = now + self.timing.election
@@ -551,6 +562,7 @@
         entries = batch(self.log.between(peer.next, self.log.last, BATCH_MOST))
         self.say_append(name, peer.next - 1, entries, self.commit)
         peer.next += len(entries)
+        peer.told_commit = self.commit
 
     def send_snapshot(self, name: str, peer: Peer) -> None:
         """The next part. A transfer that has begun is finished before a newer snapshot is sent."""
--- a/tests/configstore/test_voters.py
+++ b/tests/configstore/test_voters.py
@@ -7,6 +7,7 @@
 import pytest
 
 from latchspoke.configstore import voters
+from latchspoke.configstore.messages import Message
 from latchspoke.configstore.replacements import LOSSES, Run, drawn, places
 from latchspoke.configstore.simulation import World, replace
 from latchspoke.configstore.voters import NOWHERE, VOTERS_MOST, Contacts, Newcomer, Place, View, next_members
@@ -180,3 +181,23 @@
     places = dict(seen.places) | {"b4": NOWHERE}
     unknown = View(seen.me, seen.members, seen.ready, seen.lost, seen.forgotten, places)
     assert step(unknown) is None
+
+
+def test_who_does_not_vote_gets_fewer_heartbeats_and_orders_as_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = started(12)
+    leader = world.leader()
+    votes = {name_of(voter) for voter in world.voters()} - {leader.me}
+    guest = next(name for name in world.names if name not in votes | {leader.me})
+    sent: Counter[str] = Counter()
+    send = world.send
+
+    def counted(source: str, target: str, message: Message) -> None:
+        sent[target] += source == leader.me
+        send(source, target, message)
+
+    monkeypatch.setattr(world, "send", counted)
+    world.run(6.0)
+    assert sent[guest] < 0.6 * sent[min(votes)] and world.up[guest].leader, "and it knows of the leader"
+    assert world.order(min(votes), replace(1, 0)).ok
+    world.run(0.1)
+    assert world.up[guest].orders.version == 1
