--- a/latchspoke/lab/system/__main__.py
+++ b/latchspoke/lab/system/__main__.py
@@ -26,6 +26,7 @@
     RecordError,
     draw_day,
     draw_deployment,
+    draw_losses,
     read,
     read_day,
 )
@@ -98,16 +99,21 @@
 @app.command
 def hunt(
     deployment: str, *, seed: int = 1, days: int = 40, processes: int = 2, guard: Without = "",
-    drawn: bool = False, more: int = 0,
+    drawn: bool = False, more: int = 0, losses: bool = False,
 ) -> int:  # fmt: skip
     """Play many days, and shorten the first that breaks a rule.
 
+    With --losses control machines are replaced one after the other, each as soon as the one before counts.
+
     With --drawn each day is one of a deployment of its own, drawn by the day's seed. --more gives each day so
     many further troubles.
     """
     known(guard)
     seeds = range(seed, seed + days)
-    if drawn:
+    if losses:
+        place = deployment_of(deployment)
+        pairs = [(place, draw_losses(place, n)) for n in seeds]
+    elif drawn:
         pairs = [(place, draw_day(place, n, more)) for n in seeds for place in [draw_deployment(n)]]
     else:
         pairs = hunting.days(deployment_of(deployment), seeds, more)
--- a/latchspoke/lab/system/day.py
+++ b/latchspoke/lab/system/day.py
@@ -14,7 +14,7 @@
 
 from latchspoke.lab.system.callers import Travellers
 from latchspoke.lab.system.clients import Crowd
-from latchspoke.lab.system.machines import FRONT, Fleet, Machine, programs
+from latchspoke.lab.system.machines import FRONT, START, Fleet, Machine, programs
 from latchspoke.lab.system.network import Network, World
 from latchspoke.lab.system.operators import Operator, Plan
 from latchspoke.lab.system.record import Doc, Order, Record, Touch
@@ -83,6 +83,7 @@
         )
         self.draw = random.Random(f"troubles:{day.seed}")
         self.after_ack: list[Callable[[Order], None]] = []
+        self.replacing_until = 0.0  # s; a control machine that was replaced counts as lost till then
         self.operator.on_ack.append(self.acked)
         self.stats: dict[str, int] = {}
         self.end = deployment.lead + deployment.length
@@ -359,6 +360,38 @@
         self.after_ack.append(hit)
         self.change(lambda doc: self.plan.changed(doc, "timeout"))
 
+    def do_replace(self, t: Trouble) -> None:
+        """``count`` control machines in turn, each as soon as the loss before it counts no more."""
+        self.replace_next(t, t.count)
+
+    def replace_next(self, t: Trouble, left: int) -> None:
+        if not left:
+            return
+        old = self.pick_replaced(t)
+        if t.how == "planned":
+            self.fleet.successor(old)
+            self.world.after(t.x, self.end_for_good, old)
+        else:
+            self.fleet.note(old, t.x)
+            self.fleet.retire(old)
+            self.world.after(t.x, self.fleet.successor, old)
+        # A machine that comes counts for nothing until it has started and had ``catchUpS``.
+        again = t.x + START["core"] * 1.3 + self.deployment.bound("catchUpS")
+        self.replacing_until = self.world.now + again
+        self.world.after(again, self.replace_next, t, left - 1)
+
+    def end_for_good(self, machine: Machine) -> None:
+        """SIGTERM; what has ended isn't started again, and the machine goes with the end of its grace."""
+        machine.kept_down += 1
+        self.fleet.terminate(machine)
+        self.world.after(self.deployment.bound("graceS"), self.fleet.retire, machine)
+
+    def pick_replaced(self, t: Trouble) -> Machine:
+        cores = [m for m in self.fleet.cores if m.running] or self.fleet.cores
+        if t.how == "leader":
+            return next((m for m in cores if m.leads), cores[0])
+        return cores[0] if t.how == "oldest" else self.draw.choice(cores)
+
     def do_at_save(self, t: Trouble) -> None:
         """The leader loses power right before, or right after, its next sync."""
         for machine in [m for m in self.fleet.cores if m.leads][:1]:
@@ -511,7 +544,8 @@
         """Of these as many as may lose their disks now: who was hit lately counts as lost already."""
         now, least = self.world.now, self.deployment.bound("catchUpS")
         gone = [m for m in self.fleet.cores if not self.touch.calm(m.ip, now - least, now)]
-        able = self.deployment.tolerate_machines - len([m for m in gone if m not in machines])
+        missing = now < self.replacing_until  # one that is no machine of the fleet any more
+        able = self.deployment.tolerate_machines - missing - len([m for m in gone if m not in machines])
         return [m for m in machines if m in gone or len(gone) < self.deployment.tolerate_machines][
             : max(able, 0)
         ]
--- a/latchspoke/lab/system/machines.py
+++ b/latchspoke/lab/system/machines.py
@@ -134,6 +134,7 @@
         self.world, self.seed, self.home = network.world, seed, home
         self.draw = random.Random(f"machines:{seed}")
         self.machines: list[Machine] = []
+        self.added = 0  # successors of machines that are gone
         self.first = True
         counts: dict[str, int] = {}
         regions = deployment.zones
@@ -151,6 +152,29 @@
         self.seeds = [machine.ip for machine in cores[:3]]
         self.control_list = [machine.ip for machine in cores]  # what callers know, with a lag
 
+    def successor(self, old: Machine) -> Machine:
+        """An empty machine of the same kind in the same zone, at an address of its own, started."""
+        self.added += 1
+        ip = f"10.{200 + self.added // 250}.0.{1 + self.added % 250}"
+        host = self.network.host(ip, old.host.zone, old.host.region)
+        host.out.rate, host.into.rate = old.host.out.rate, old.host.into.rate
+        name = f"{old.kind}-{old.host.zone}-s{self.added}"
+        new = Machine(self, name, old.kind, host, self.home / f"{name}.yaml")
+        self.machines.append(new)
+        self.note(new, 0.0)
+        self.start(new)
+        return new
+
+    def retire(self, machine: Machine) -> None:
+        """It is gone for good, whatever still runs on it."""
+        self.power_off(machine)
+        machine.kept_down += 1
+        self.machines.remove(machine)
+        if machine.ip in self.seeds:
+            # The operator's list names another one in files that are written from now on.
+            others = [other.ip for other in self.cores if other.ip not in self.seeds]
+            self.seeds = [ip for ip in self.seeds if ip != machine.ip] + others[-1:]
+
     @property
     def cores(self) -> list[Machine]:
         return [m for m in self.machines if m.kind == "core"]
@@ -414,10 +438,13 @@
 @contextlib.contextmanager
 def programs(fleet: Fleet) -> Iterator[None]:
     """Meanwhile registers keep their word on the emulated disks, and logs go into the record."""
-    by_path = {str(fleet.home / m.name / replica.FILE): m for m in fleet.machines}
     shim: Any = replica_draw
+
+    def ledger(path: Path, alone: bool = False) -> SimLedger:
+        return SimLedger(next(m for m in fleet.machines if fleet.home / m.name / replica.FILE == path))
+
     fakes = {
-        "Ledger": lambda path, alone=False: SimLedger(by_path[str(path)]),
+        "Ledger": ledger,
         "random": shim,
         "secrets": shim,
     }
--- a/latchspoke/lab/system/records.py
+++ b/latchspoke/lab/system/records.py
@@ -225,7 +225,8 @@
     "scale_out",
 )  # kinds that are of one service
 ENDS = ("end_power", "end_kill", "end_wipe")
-WRITTEN = ("rolling", "rollout")  # in a day's file alone, never drawn
+WRITTEN = ("rolling", "rollout", "replace")  # in a day's file or by ``draw_losses`` alone
+REPLACED = ("", "oldest", "planned", "leader")  # how control machines are replaced
 LAST = 9.0  # s before the end of traffic, a closing fault or the last trouble
 
 
@@ -251,6 +252,19 @@
     )  # fmt: skip
 
 
+def draw_losses(deployment: Deployment, seed: int) -> Day:
+    """Control machines replaced in turn while the operator gives orders; perhaps a closing fault."""
+    draw = random.Random(f"losses:{deployment.name}:{seed}")
+    last = max(deployment.length - LAST, 4.0)
+    troubles = [
+        Trouble(2.0, "replace", 0.0, 8, round(draw.uniform(0.3, 2.0), 2), draw.choice(REPLACED)),
+        *(draw_trouble(draw, "change", draw.uniform(1.5, last), deployment) for _ in range(4)),
+    ]
+    if draw.random() < 0.5:
+        troubles.append(draw_trouble(draw, draw.choice(ENDS), last, deployment))
+    return Day(seed, tuple(sorted(troubles, key=lambda t: t.at)))
+
+
 def draw_day(deployment: Deployment, seed: int, more: int = 0) -> Day:
     """Planned work early and late, faults between (``more`` beside the usual), perhaps one to end the day."""
     draw = random.Random(f"day:{deployment.name}:{seed}")
