--- a/tests/lab/test_system.py
+++ b/tests/lab/test_system.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from latchspoke.configstore import voters
 from latchspoke.dataplane.relay import Relay
 from latchspoke.lab.system import hunt, records, report, rules, size
 from latchspoke.lab.system.day import Play, play
@@ -305,3 +306,19 @@
     most = shores.bound("evacuationS") + shores.bound("stretchMaxS")
     assert {f.rule for f in found} == {"EVAC"}
     assert all(float(f.what.partition(" ")[0]) > most for f in found)
+
+
+@pytest.mark.parametrize("seed", [3, 5])
+def test_control_machines_are_replaced_one_after_the_other(seed: int) -> None:
+    """RECOVER, CONFIG: a third loss found no majority, as the first one's vote was still nobody's."""
+    shores = records.read(SHORES)
+    day = records.draw_losses(shores, seed)
+    assert any(trouble.kind == "replace" and trouble.count == 8 for trouble in day.troubles)
+    outcome = hunt.one(shores, day)
+    assert not outcome.findings and outcome.worth > 0.9
+
+
+def test_replacements_that_get_their_votes_late_are_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(voters, "LOST_LEAST", 15.0)
+    shores = records.read(SHORES)
+    assert any(hunt.one(shores, records.draw_losses(shores, seed)).findings for seed in range(4))
