--- a/latchspoke/configstore/copies.py
+++ b/latchspoke/configstore/copies.py
@@ -40,15 +40,18 @@
 
 
 def digest_of(orders: Image) -> str:
+    """Hash of the orders in a copy, in hexadecimal."""
     return blake2b(msgspec.json.encode(orders), digest_size=16).hexdigest()
 
 
 def take(orders: Orders, applied: int, taken_by: str) -> Copy:
+    """A copy of the applied orders; ``applied`` is their place in the log."""
     image = IMAGE.decode(orders.dump())
     return Copy(KIND, LAYOUT, taken_by, applied, digest_of(image), image)
 
 
 def write(copy: Copy) -> bytes:
+    """The copy as the bytes of a file."""
     return msgspec.json.encode(copy) + b"\n"
 
 
--- a/latchspoke/configstore/orders.py
+++ b/latchspoke/configstore/orders.py
@@ -85,6 +85,7 @@
 
     @property
     def evacuated(self) -> frozenset[str]:
+        """Zones that are evacuated now."""
         return frozenset(zone for zone, (_, out) in self.zones.items() if out)
 
     def standing(self, zone: str) -> int:
@@ -102,6 +103,7 @@
         return Verdict(kind, "", self.version, index)
 
     def carry_out(self, index: int, command: Command) -> str:
+        """Apply one command; the kind of its verdict."""
         match command["do"]:
             case "replace" | "modify":
                 return self.configure(index, command)
@@ -112,6 +114,7 @@
         raise Refusal(INVALID, f"no such order: {command['do']!r}")
 
     def configure(self, index: int, command: Command) -> str:
+        """Replace or modify the configuration, if it builds on the one in force."""
         version, base, digest = command["version"], command["base"], command["digest"]
         if not (type(version) is type(base) is int and isinstance(digest, str)):
             raise Refusal(INVALID, "version and base are whole numbers, the digest is a text")
@@ -151,6 +154,7 @@
         return len(self.history) >= KEPT and version < min(self.history)
 
     def move(self, index: int, command: Command, out: bool) -> str:
+        """Evacuate a zone (``out``), or restore it."""
         zone = command["zone"]
         if not isinstance(zone, str):
             raise Refusal(INVALID, "the zone is a text")
@@ -168,6 +172,7 @@
         return TAKEN
 
     def dump(self) -> bytes:
+        """The whole state as bytes, for a snapshot."""
         image = Image(
             self.document, self.version, self.index, list(self.history.items()), list(self.refused),
             self.zones,
--- a/latchspoke/configstore/register.py
+++ b/latchspoke/configstore/register.py
@@ -159,6 +159,7 @@
 
     @property
     def admitted(self) -> bool:
+        """Whether this process is a member by its own log."""
         return self.member.identity in self.member.members.all
 
     @property
@@ -168,6 +169,7 @@
 
     @property
     def leads(self) -> bool:
+        """Whether this process is the leader."""
         return self.member.role is Role.LEADER
 
     @property
@@ -196,6 +198,7 @@
     # Inputs.
 
     def tick(self, now: float) -> None:
+        """Do what is due by now (s, monotonic)."""
         self.now = now
         self.member.tick(now)
         for number in [n for n, call in self.calls.items() if now >= call.until]:
@@ -336,6 +339,7 @@
         return snapshot
 
     def restore(self, snapshot: Snapshot) -> None:
+        """Begin anew from a snapshot that came from the leader."""
         self.orders.load(snapshot.body)
         self.applied, self.changed = snapshot.index, True
         self.bytes = sum(len(entry.body) for entry in self.member.log.entries)
@@ -343,6 +347,7 @@
             self.let_go(self.placed.pop(index))
 
     def carry_out(self, entry: Entry) -> None:
+        """Apply a committed entry, and answer whoever sent its command to this leader."""
         verdict, before = None, self.orders.index
         if entry.kind is Kind.DATA:
             verdict = self.orders.apply(entry.index, msgspec.json.decode(entry.body))
@@ -374,6 +379,7 @@
     # Commands, at the process that was asked.
 
     def ready(self, call: Call) -> bool:
+        """Whether all is applied here that the call must come after."""
         return call.hold <= self.applied
 
     def push(self) -> None:
@@ -397,6 +403,7 @@
         self.prove(leader)
 
     def on_told(self, number: int, verdict: Verdict) -> None:
+        """The leader has answered a command."""
         call = self.calls.get(number)
         if call is None:
             return
@@ -407,6 +414,7 @@
         self.answers.append((number, verdict))
 
     def on_no(self, number: int) -> None:
+        """Whom a command was sent to does not lead."""
         call = self.calls.get(number)
         if call is not None:
             call.to, call.sent_at = "", self.now
@@ -414,6 +422,7 @@
     # Proofs, at the process that was asked.
 
     def prove(self, leader: str) -> None:
+        """Ask the leader for a proof, for all confirms that wait."""
         question, now = self.question, self.now
         if question is not None:
             if question.to == leader and now < question.sent_at + AGAIN:
@@ -429,6 +438,7 @@
         self.reply(name_of(leader), Prove(self.number, patient))
 
     def on_proof(self, number: int, index: int) -> None:
+        """The leader has answered the question for a proof; ``index`` -1: it does not lead."""
         if self.question is None or self.question.number != number:
             return
         tickets, self.question = self.question.tickets, None
@@ -439,6 +449,7 @@
         self.release()
 
     def settle(self, ticket: int, index: int | None) -> None:
+        """Answer a confirm, if nobody has yet."""
         self.urgent.discard(ticket)
         if self.tickets.pop(ticket, None) is not None:
             self.answers.append((ticket, index))
@@ -453,6 +464,7 @@
             self.outbox.append((name, message))
 
     def on_ask(self, name: str, number: int, command: Command) -> None:
+        """Propose a command that another process has sent here."""
         if (name, number) in self.at_work:
             return
         try:
@@ -469,6 +481,7 @@
         self.placed[entry.index] = Placed(entry.term, name, number)
 
     def on_prove(self, name: str, number: int, patient: bool = False) -> None:
+        """Read the log for a process that asks how far it must have applied."""
         self.number += 1
         ident = self.number
         self.reads[ident] = name, number
@@ -478,6 +491,7 @@
             self.say_proof(ident, -1)
 
     def say_proof(self, ident: int, index: int) -> None:
+        """Answer the question for a proof that this read was made for."""
         name, number = self.reads.pop(ident)
         self.reply(name, Proof(number, index))
 
@@ -493,6 +507,7 @@
             self.outbox.append((name, Knock(self.member.identity)))
 
     def on_knock(self, name: str, identity: str) -> None:
+        """A process asks to be a member."""
         if name_of(identity) != name or name == self.me:
             return
         if self.leads:
@@ -502,9 +517,11 @@
             self.outbox.append((name, Leads(self.member.leader)))
 
     def on_leads(self, who: str) -> None:
+        """Another process names the leader."""
         self.hint = who
 
     def on_raft(self, said: Wire) -> None:
+        """A message of the replicated log has come."""
         self.member.receive(said, self.now)
         self.contacts.started(said.source, said.boot)
 
@@ -560,5 +577,6 @@
         )
 
     def caught_up(self, identity: str, now: float) -> bool:
+        """Whether a member answers and has all that is committed."""
         peer = self.member.peers.get(identity)
         return peer is not None and self.member.fresh(peer, now) and peer.match >= self.member.commit
--- a/latchspoke/configstore/replica.py
+++ b/latchspoke/configstore/replica.py
@@ -138,6 +138,7 @@
     # What comes.
 
     def heard(self, name: str, message: dict[str, Any]) -> None:
+        """Take a message of another process in."""
         if self.idle:
             return
         try:
@@ -170,6 +171,7 @@
         return answer
 
     async def wait(self, number: int) -> Answer:
+        """The answer under this number, once it is there."""
         assert self.loop is not None
         future: asyncio.Future[Answer] = self.loop.create_future()
         self.waiting[number] = future
@@ -180,6 +182,7 @@
             self.waiting.pop(number, None)
 
     def status(self) -> dict[str, Any]:
+        """What operators see of this member."""
         register, member = self.register, self.register.member
         return {
             "identity": member.identity,
@@ -210,6 +213,7 @@
             self.loop.call_soon(self.turn)
 
     def tick(self) -> None:
+        """The timer has fired: begin anew after a fault, retry the disk, do what is due."""
         self.timer = None
         if self.failed:
             self.revive()
@@ -224,6 +228,7 @@
         self.turn()
 
     def turn(self) -> None:
+        """Store, send and answer all that has come up, and set the timer."""
         self.woken = False
         if self.closed or self.failed:
             return
@@ -249,6 +254,7 @@
         self.set_timer(REVIVE)
 
     def revive(self) -> None:
+        """Begin anew from the disk, after a fault of the program."""
         known = {name: self.register.places[name] for name in self.register.alive}
         try:
             self.register = self.begin()
@@ -281,6 +287,7 @@
                     self.log("disk-refuses", {"error": str(e)})
 
     def store(self, output: Output) -> bool:
+        """Sync an output; False where the disk refuses."""
         try:
             self.ledger.save(output)
         except LedgerError as e:
@@ -297,11 +304,13 @@
         return True
 
     def post(self) -> None:
+        """Send what is to be sent."""
         outbox, self.register.outbox = self.register.outbox, []
         for name, message in outbox:
             self.send(name, message)
 
     def answer(self) -> None:
+        """Hand answers to those who wait for them."""
         answers, self.register.answers = self.register.answers, []
         for number, answer in answers:
             future = self.waiting.get(number)
--- a/latchspoke/configstore/scenes.py
+++ b/latchspoke/configstore/scenes.py
@@ -22,6 +22,7 @@
 
 
 def scene(call: Callable[[Play], None]) -> Callable[[Play], None]:
+    """Register a scene under the name of its function."""
     SCENES[call.__name__] = call
     return call
 
--- a/latchspoke/configstore/voters.py
+++ b/latchspoke/configstore/voters.py
@@ -73,6 +73,7 @@
         self.looked = now
 
     def hear(self, identity: str, at: float) -> None:
+        """Something came from this member at this time."""
         self.heard[identity] = max(self.heard.get(identity, at), at)
 
     def silence(self, identity: str, now: float) -> float:
@@ -89,6 +90,7 @@
             del self.leaving[identity]
 
     def lost(self, identity: str, now: float) -> bool:
+        """Whether this member's vote may be given to a guest."""
         return identity in self.leaving or self.silence(identity, now) >= self.lost_after
 
 
@@ -99,6 +101,7 @@
 
     @property
     def name(self) -> str:
+        """The name of its process."""
         return name_of(self.identity)
 
 
@@ -113,6 +116,7 @@
     places: Mapping[str, Place]  # by name
 
     def place(self, identity: str) -> Place:
+        """Where a member stands, as far as is known."""
         return self.places.get(name_of(identity), NOWHERE)
 
     def sound(self) -> list[str]:
@@ -174,6 +178,7 @@
 
 
 def promote(view: View, guest: str) -> Members:
+    """The same membership, in which this guest votes."""
     rest = without(view.members, (guest,))
     return msgspec.structs.replace(rest, voters=(*rest.voters, guest))
 
--- a/latchspoke/configuration/shape.py
+++ b/latchspoke/configuration/shape.py
@@ -9,10 +9,14 @@
 
 
 class Match(TypedDict):
+    """Which paths a rule is for."""
+
     pathPrefix: str
 
 
 class Share(TypedDict):
+    """One service of a split."""
+
     service: str
     weight: float
 
@@ -36,6 +40,8 @@
 
 
 class Action(TypedDict):
+    """Where the requests of a rule go, and within which limits."""
+
     service: NotRequired[str | None]
     weightedSplit: NotRequired[list[Share] | None]
     timeoutS: NotRequired[float | None]
@@ -45,6 +51,8 @@
 
 
 class Rule(TypedDict):
+    """One route."""
+
     name: str
     routeKind: NotRequired[str | None]  # idempotent | non_idempotent
     targetLatencyS: NotRequired[float | None]
@@ -55,11 +63,15 @@
 
 
 class Listener(TypedDict):
+    """A host and its routes."""
+
     host: str
     ruleSet: list[Rule]
 
 
 class Cluster(TypedDict):
+    """A service."""
+
     name: str
     healthPath: NotRequired[str | None]
     connectionLimit: NotRequired[int | None]
@@ -99,6 +111,8 @@
 
 
 class Upsert(TypedDict, total=False):
+    """Items that a change adds or replaces, by name."""
+
     listenerList: list[Listener]
     clusterList: list[Cluster]
     tenants: list[Holder]
@@ -106,6 +120,8 @@
 
 
 class Remove(TypedDict, total=False):
+    """Names that a change removes."""
+
     routes: list[str]
     services: list[str]
     tenants: list[str]
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -65,6 +65,7 @@
     whole: asyncio.Future[None]
 
     def got(self, name: str) -> None:
+        """This control machine has said that it knows."""
         if name in self.asked:
             self.asked.discard(name)
             self.lacking -= 1
@@ -129,6 +130,7 @@
     # The register.
 
     def to_register(self, name: str, message: Message) -> None:
+        """Send a message of the replicated store to another control machine."""
         self.peers.send(name, {"k": "reg", "m": message})
 
     def applied(self, kept: Kept) -> None:
@@ -138,6 +140,7 @@
             self.tell_orders()
 
     def tell_orders(self) -> None:
+        """Tell gateways the newest orders, if they are news."""
         kept = self.replica.orders
         orders = Orders(kept.index, kept.version, kept.document, kept.evacuated)
         if self.board.order(orders, self.clock.now()):
@@ -191,6 +194,7 @@
             wire.send(told)
 
     def peer_answers(self, wire: Wire, message: Message) -> None:
+        """What another control machine says on a connection opened from here."""
         self.peers.heard(str(wire.tag))
         if message.get("k") == "got":
             self.got(str(wire.tag), message)
@@ -253,6 +257,7 @@
                     self.teller.heard(wire, message)
 
     def left(self, wire: Wire, reason: str) -> None:
+        """A connection that another process had opened has ended."""
         super().left(wire, reason)
         self.relays.left(wire)
         if isinstance(wire.tag, Reader):
@@ -267,11 +272,13 @@
         self.gather(now + EVIDENCE)
 
     def gather(self, at: float) -> None:
+        """Tell evidence on servers at this time, with all that comes until then."""
         if not self.telling:
             self.telling = True
             self.clock.schedule(at, self.tell_evidence)
 
     def tell_evidence(self, now: float) -> None:
+        """Tell other control machines and gateways what gateways saw of servers."""
         self.telling = False
         if entries := self.ledger.to_peers(now):
             self.peers.all({"k": "hot", "e": entries})
@@ -319,6 +326,7 @@
             self.peers.send(asker, roster(known, asker in self.peers.regions.capable))
 
     def gossip(self, now: float) -> None:
+        """Tell the other control machines whose heartbeats have come here."""
         beaten, self.beaten = self.beaten, {}
         if beaten:
             beats = [[e.ident, e.sequence, round(now - e.heard_at, 2)] for e in beaten.values()]
@@ -355,6 +363,7 @@
     def control(
         self, method: str, target: str, body: bytes, caller: Caller = PRESENT
     ) -> Answer | Awaitable[Answer]:
+        """Answer a call of an operator, a server or a client."""
         asked = read_call(method, target)
         call = self.calls.get(asked.name)
         if call is None:
@@ -362,6 +371,7 @@
         return call(asked, body, caller)
 
     def resolve(self, asked: Asked) -> Answer:
+        """Answer a client's look-up with gateways."""
         membership, query = self.post.membership, asked.query
         members = list(membership.alive.values())
         found = locate(
@@ -373,6 +383,7 @@
         return 200, {"addresses": found, "ttlS": ttl}
 
     def beat(self, ident: str, body: bytes) -> Answer | Awaitable[Answer]:
+        """Take a server's heartbeat."""
         import msgspec
 
         now = self.clock.now()
@@ -421,6 +432,7 @@
         return 503, {"errorText": "no majority of the control machines knows of it yet"}
 
     def leave(self, ident: str) -> Awaitable[Answer]:
+        """Take the word of a server that it has ended."""
         now = self.clock.now()
         entry, news = self.registry.leave(ident, now)
         if news:
@@ -429,6 +441,7 @@
         return self.held(entry)
 
     async def configure(self, body: bytes) -> Answer:
+        """Take a configuration or a change of one."""
         if self.stopping:
             return 503, {"errorText": "stops"}
         for _ in range(CHECKS):
@@ -480,6 +493,7 @@
         return 200, {"version": f"{verdict.version:08x}"}
 
     async def read(self) -> Answer:
+        """The newest configuration, whole; 503 without a majority."""
         if await self.replica.confirm(LIMIT) is None:
             return 503, {"errorText": "no majority can be reached"}
         kept = self.replica.orders
@@ -494,6 +508,7 @@
         return self.show("copy")
 
     def show(self, what: str) -> Answer:
+        """One of the views for operators."""
         from latchspoke.controlplane import view  # loaded only when people ask
 
         return 200, view.answer(self, what)
@@ -528,12 +543,14 @@
     # Who there is.
 
     def news(self, news: News) -> None:
+        """A change of the membership."""
         if news.kind != "changed":
             log("membership", what=news.kind, who=news.member.name)
         if news.member.meta.get("role") == "core" and news.kind in ("joined", "gone"):
             self.core_changed()
 
     def core_changed(self) -> None:
+        """Tell the replicated store and the connections which control machines are alive."""
         alive = {
             f"{m.host}:{m.port}": Place(str(m.meta.get("zone", "")), str(m.meta.get("region", "")))
             for m in self.post.membership.alive.values()
@@ -546,6 +563,7 @@
     # Life.
 
     async def start(self) -> None:
+        """Listen, and begin the periodic work. Raises OSError."""
         s = self.settings
         create = self.loop.create_server
         await self.listen(self.post)
@@ -560,6 +578,7 @@
         self.serves(control=str(s.listen.get("controlPlane")))
 
     def sweep(self, now: float) -> None:
+        """Periodic: judge silent servers, drop old evidence, look at the settings file."""
         self.clock.schedule(now + SWEEP, self.sweep)
         if not self.peers.connected and len(self.peers.links):
             self.together_at = now
@@ -572,16 +591,19 @@
         self.watch.look(now)
 
     def regossip(self, now: float) -> None:
+        """Periodic: ``gossip``."""
         self.clock.schedule(now + GOSSIP, self.regossip)
         self.gossip(now)
 
     def stop(self) -> None:
+        """SIGTERM: end in order."""
         if not self.stopping:
             self.stopping = True
             log("stops")
             self.spawn(self.end())
 
     async def end(self) -> None:
+        """Hand over, leave the membership and close."""
         await self.replica.stop()
         await asyncio.sleep(0.1)
         self.post.leave()
--- a/latchspoke/controlplane/peers.py
+++ b/latchspoke/controlplane/peers.py
@@ -44,6 +44,7 @@
         self.unanswered, self.heard_at = None, now
 
     def send(self, message: Message, now: float) -> bool:
+        """Directly; whether it went out now. Else it waits for the connection."""
         if self.unanswered is None:
             self.unanswered = now
         if self.wire is not None and not self.wire.over:
@@ -52,6 +53,7 @@
         return False
 
     async def work(self) -> None:
+        """Keep the connection open, until ``stop``."""
         pause = PAUSE[0]
         while self.wanted:
             over = asyncio.Event()
@@ -74,6 +76,7 @@
             pause = min(pause * 2, PAUSE[1])
 
     def stop(self) -> None:
+        """Close it for good."""
         self.wanted = False
         self.task.cancel()
         if self.wire is not None:
@@ -108,6 +111,7 @@
             self.links.pop(name).stop()
 
     def send(self, name: str, message: Message) -> None:
+        """To one control machine, known or not."""
         link = self.links.get(name)
         if link is None and name != self.me:
             link = self.links[name] = Link(self, name)
@@ -153,8 +157,10 @@
 
     @property
     def connected(self) -> int:
+        """To how many there is a connection."""
         return sum(link.wire is not None and not link.wire.over for link in self.links.values())
 
     def stop(self) -> None:
+        """Close all connections for good."""
         for link in self.links.values():
             link.stop()
--- a/latchspoke/controlplane/relays.py
+++ b/latchspoke/controlplane/relays.py
@@ -67,6 +67,7 @@
         return any(sent)
 
     def choose(self, name: str, now: float) -> list[Wire]:
+        """The gateways by which a message for this control machine goes."""
         way = self.ways.get(name)
         if way is not None and now - way.at < FRESH and not way.wire.over:
             return [way.wire]
--- a/latchspoke/distribution/board.py
+++ b/latchspoke/distribution/board.py
@@ -102,15 +102,18 @@
     packed_version: int = 0
 
     def join(self, reader: Reader, now: float) -> None:
+        """A reader has connected; it is told the whole if there is one."""
         self.readers.append(reader)
         if self.orders.index:
             self.tell_whole(reader, now)
 
     def leave(self, reader: Reader) -> None:
+        """A reader has gone."""
         if reader in self.readers:
             self.readers.remove(reader)
 
     def tell_whole(self, reader: Reader, now: float) -> None:
+        """Tell one reader all: orders, document and servers."""
         reader.whole = True
         orders = self.orders
         whole: Message = {
@@ -147,6 +150,7 @@
         return pack("doc", doc)
 
     def pools(self) -> dict[str, dict[str, str]]:
+        """The field that tells the versions of sets of servers, if routes need them."""
         found = self.versions(self) if self.versions is not None else None
         return {"pools": found} if found else {}
 
@@ -192,6 +196,7 @@
         return True
 
     def acknowledged(self, reader: Reader, number: int, index: int) -> None:
+        """A reader has taken the change of this number, and has orders up to this index."""
         reader.acknowledged = max(reader.acknowledged, number)
         reader.index = max(reader.index, index)
 
@@ -249,6 +254,7 @@
         return found
 
     def read(self, message: Message) -> Orders:
+        """The orders in a message. Raises GapError where they build on what is not here."""
         old = self.board.orders
         index, version = int(message["index"]), int(message["version"])
         given, patch = unpack("doc", message), unpack("patch", message)
@@ -290,6 +296,7 @@
 
     @property
     def until(self) -> float:
+        """When the right ends (s, monotonic)."""
         return self.proven_at + self.lasts
 
     def proven(self, at: float) -> None:
--- a/latchspoke/distribution/teller.py
+++ b/latchspoke/distribution/teller.py
@@ -42,5 +42,6 @@
         return True
 
     def ended(self, wire: Wire) -> None:
+        """A connection is over."""
         if isinstance(wire.tag, Reader):
             self.board.leave(wire.tag)
--- a/latchspoke/membership/post.py
+++ b/latchspoke/membership/post.py
@@ -58,9 +58,11 @@
         self.flush()
 
     def reseed(self, seeds: Sequence[Address]) -> None:
+        """Other seeds are to be asked from now on."""
         self.membership.reseed(seeds)
 
     def leave(self) -> None:
+        """Tell others that this process leaves."""
         self.membership.leave(self.clock())
         self.flush()
 
@@ -74,6 +76,7 @@
                 self.transport.sendto(data, address)
 
     def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """A datagram has come; what is not ours is counted and dropped."""
         self.received += 1
         frames = Frames(MOST)
         try:
@@ -96,6 +99,7 @@
         self.flush()
 
     def error_received(self, exc: Exception) -> None:
+        """A datagram could not be delivered."""
         self.failed += 1
 
     def flush(self) -> None:
--- a/latchspoke/membership/watch.py
+++ b/latchspoke/membership/watch.py
@@ -36,6 +36,8 @@
 
 
 class Output(msgspec.Struct):
+    """What is to be sent, and what is news, since the last ``take``."""
+
     messages: list[tuple[Address, dict[str, Any]]] = msgspec.field(default_factory=list)
     news: list[News] = msgspec.field(default_factory=list)
 
--- a/latchspoke/membership/words.py
+++ b/latchspoke/membership/words.py
@@ -35,6 +35,7 @@
 
     @property
     def address(self) -> Address:
+        """Where the process takes messages."""
         return (self.host, self.port)
 
 
@@ -54,10 +55,13 @@
             raise ValueError("a living process has no address")
 
     def member(self) -> Member:
+        """The process that this tells of."""
         return Member(self.name, self.host, self.port, self.meta, self.incarnation, self.life)
 
 
 class Message(msgspec.Struct, frozen=True):
+    """One message of the membership; see the module for its fields."""
+
     k: str
     f: tuple[str, str, Count]
     n: Count = 0
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -85,6 +85,7 @@
         raise NotImplementedError
 
     async def start(self) -> None:
+        """Listen, and begin the periodic work. Raises OSError."""
         raise NotImplementedError
 
     # What they share.
@@ -114,15 +115,18 @@
         log("serves", **fields, zone=s.zone)
 
     def accepted(self, wire: Wire, message: Message) -> None:
+        """A message on a connection that another process has opened; a wrong one ends the connection."""
         try:
             self.heard(wire, message)
         except (BeatError, KeyError, TypeError, ValueError) as e:
             wire.end(f"a message that can't be read: {e!r}")
 
     def left(self, wire: Wire, reason: str) -> None:
+        """A connection that another process had opened has ended."""
         self.teller.ended(wire)
 
     def spawn(self, work: Any) -> None:
+        """Run a coroutine as a task that is kept until it ends."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
--- a/latchspoke/pool/command.py
+++ b/latchspoke/pool/command.py
@@ -61,6 +61,7 @@
 
 
 def split(text: str, sign: str) -> tuple[str, str]:
+    """Both sides of a sign. Raises PoolError where one is missing."""
     first, found, rest = text.partition(sign)
     if not found or not first or not rest:
         raise PoolError(f"{text!r} is not of the form ADDRESS=SLOTS or ADDRESS=SLOTS@ZONE")
@@ -68,6 +69,7 @@
 
 
 def amount(number: str, text: str) -> float:
+    """A whole number above 0. Raises PoolError where it is none."""
     if not number.isdigit() or not int(number):
         raise PoolError(f"{text!r}: slots are a whole number above 0")
     return float(number)
@@ -153,6 +155,7 @@
 
 
 def planned(told: dict[str, Any]) -> str:
+    """A plan as text for people."""
     lines = [
         f"{told['moved']} of {told['callers']} callers move: {told['share_moved']:.2%}, at least"
         f" {told['least_possible']:.2%} must (set {told['from_version']} to {told['to_version']})"
@@ -164,6 +167,7 @@
 
 
 def explained(told: dict[str, Any]) -> str:
+    """An explanation as text for people."""
     lines = [f"{told['caller']!r} goes to {told['goes_to']}: {told['why']} (set {told['version']})"]
     lines += [
         f"{n}. {line['place']} in {line['zone']}, {line['strength']:g} slots, {line['part']:.2%} of callers"
@@ -182,5 +186,6 @@
 
 
 def shown(told: dict[str, Any], page: Callable[[dict[str, Any]], str], as_json: bool) -> int:
+    """Print an answer as a page or as JSON; the exit code."""
     print(json.dumps({"ok": True, "exit": 0} | told, indent=2) if as_json else page(told))
     return 0
--- a/latchspoke/pool/versions.py
+++ b/latchspoke/pool/versions.py
@@ -32,6 +32,7 @@
     services: frozenset[str] = field(default_factory=frozenset)
 
     def __call__(self, board: Board) -> dict[str, str]:
+        """The version of the set of servers of each service that needs one."""
         if board.orders.index != self.index:
             self.index, self.services = board.orders.index, asking(board.orders.doc)
         if not self.services:
--- a/latchspoke/reach/fleet.py
+++ b/latchspoke/reach/fleet.py
@@ -45,6 +45,7 @@
 
     @property
     def requests(self) -> int:
+        """How many requests reached it."""
         return sum(self.ends[end] for end in TRIED)
 
     @property
--- a/latchspoke/reach/graph.py
+++ b/latchspoke/reach/graph.py
@@ -186,6 +186,7 @@
     def change(
         self, stock: Stock, upstream: Upstream, known: Standing | None, codes: tuple[str, ...], now: float
     ) -> Change:
+        """What a change of standing is noted as, with what led to it."""
         self.standings[upstream.ident] = Standing(
             upstream.service, upstream.zone, upstream.region, f"{upstream.host}:{upstream.port}", codes, now
         )
@@ -212,9 +213,11 @@
         return max(now - first, min(since, now - self.begun_at)), total
 
     def within(self, since: float, now: float) -> Iterator[tuple[float, dict[tuple[str, str], array[int]]]]:
+        """Spans of the last ``since`` s, each with its beginning and counts."""
         for begun, counts in (*self.spans, (self.span_at, self.now)):
             if counts and begun + SPAN > now - since:
                 yield begun, counts
 
     def lately(self, since: float, now: float) -> list[Change]:
+        """Changes of the last ``since`` s, the oldest first."""
         return [each for each in self.changes if now - each.at <= since]
--- a/latchspoke/reach/show.py
+++ b/latchspoke/reach/show.py
@@ -30,6 +30,7 @@
 
 
 def change(each: Change, now: float) -> dict[str, Any]:
+    """A change as JSON; its age in s."""
     return {
         "s_ago": round(now - each.at, 2), "id": each.ident, "service": each.service, "zone": each.zone,
         "was": None if each.was is None else list(each.was), "codes": list(each.codes), "errors": each.errors,
@@ -81,6 +82,7 @@
 
 
 def answer(node: Node, query: str) -> tuple[int, Any]:
+    """The answer to ``GET /reach``."""
     try:
         return 200, reach(node, *read_ask(query))
     except AskError as e:
--- a/latchspoke/registry/registry.py
+++ b/latchspoke/registry/registry.py
@@ -24,6 +24,8 @@
 
 
 class State(IntEnum):
+    """Where a server stands; it only goes up, but for one that was lost."""
+
     READY = 0
     DRAINING = 1
     GONE = 2
@@ -216,4 +218,5 @@
         return news
 
     def whole(self, now: float) -> list[dict[str, Any]]:
+        """All lives, as another machine is told them."""
         return [entry.wire(now) for entry in self.entries.values()]
--- a/latchspoke/settings/watch.py
+++ b/latchspoke/settings/watch.py
@@ -20,6 +20,7 @@
         self.looked_at = 0.0
 
     def stamp(self) -> tuple[int, int] | None:
+        """The file's time of change and size; None where it can't be read."""
         try:
             found = os.stat(self.path)
         except OSError:
--- a/latchspoke/transport/door.py
+++ b/latchspoke/transport/door.py
@@ -54,6 +54,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """A caller has connected."""
         self.transport = cast(asyncio.Transport, transport)
         self.wait()
 
@@ -63,36 +64,43 @@
         return self.transport is None or self.transport.is_closing()
 
     def wait(self) -> None:
+        """End the connection if no call comes in time."""
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None:
             self.timer = asyncio.get_running_loop().call_later(IDLE, self.transport.abort)
 
     def data_received(self, data: bytes) -> None:
+        """Bytes have come; what is no HTTP is answered with 400."""
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.answer(400, {"errorText": "no HTTP request"}, False)
 
     def on_message_begin(self) -> None:
+        """A call begins."""
         self.url, self.parts, self.size = b"", [], 0
 
     def on_url(self, url: bytes) -> None:
+        """A part of the target."""
         self.url += url
         if len(self.url) > HEAD_MOST:
             raise ValueError("target too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
         if name.lower() == b"expect" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
+        """A part of the body."""
         self.size += len(part)
         if self.size > BODY_MOST:
             raise ValueError("body too large")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
+        """A call is whole."""
         method = self.parser.get_method().decode("latin-1")
         call = method, self.url.decode("latin-1"), b"".join(self.parts), self.parser.should_keep_alive()
         self.parts = []
@@ -102,6 +110,7 @@
             self.call(call)
 
     def call(self, call: tuple[str, str, bytes, bool]) -> None:
+        """Answer one call; the next waits meanwhile."""
         method, target, body, keep = call
         try:
             given = self.handler(method, target, body, self)
@@ -114,6 +123,7 @@
             self.task = asyncio.get_running_loop().create_task(self.later(given, keep))
 
     async def later(self, given: Awaitable[Answer], keep: bool) -> None:
+        """Answer once it is there."""
         try:
             status, body = await given
         except Exception as e:
@@ -126,6 +136,7 @@
             self.call(call)
 
     def answer(self, status: int, body: Any, keep: bool) -> None:
+        """Write an answer, and go on with the next call or close."""
         if self.transport is None or self.transport.is_closing():
             return
         kind = b"application/json"
@@ -150,6 +161,7 @@
             self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The caller has left."""
         self.transport = None
         if self.timer is not None:
             self.timer.cancel()
--- a/latchspoke/transport/metrics.py
+++ b/latchspoke/transport/metrics.py
@@ -21,6 +21,7 @@
     samples: list[tuple[Labels, float]] = field(default_factory=list)
 
     def add(self, value: float, **labels: str) -> Family:
+        """One more value, under these labels."""
         self.samples.append((labels, float(value)))
         return self
 
@@ -36,12 +37,14 @@
 
 
 def written(labels: Labels) -> str:
+    """Labels as they stand behind a name."""
     if not labels:
         return ""
     return "{" + ",".join(f'{name}="{value.translate(ESCAPES)}"' for name, value in labels.items()) + "}"
 
 
 def figure(value: float) -> str:
+    """A value as text."""
     if math.isinf(value):
         return "+Inf" if value > 0 else "-Inf"
     return str(int(value)) if value.is_integer() else repr(value)
--- a/latchspoke/transport/wire.py
+++ b/latchspoke/transport/wire.py
@@ -31,6 +31,7 @@
         self.tag: Any = None  # the owner's own
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
         self.transport = cast(asyncio.Transport, transport)
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
@@ -43,6 +44,7 @@
             self.begun(self)
 
     def data_received(self, data: bytes) -> None:
+        """Bytes have come; what is no netstring of JSON ends the connection."""
         self.received += len(data)
         try:
             messages = self.frames.feed(data)
@@ -77,15 +79,18 @@
         return True
 
     def end(self, reason: str) -> None:
+        """Break it off; ``reason`` is told to the owner."""
         self.reason = self.reason or reason
         if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """It is over."""
         self.reason = self.reason or (f"lost: {exc}" if exc else "closed by the peer")
         self.finish()
 
     def finish(self) -> None:
+        """Tell the owner, once."""
         if not self.over:
             self.over = True
             self.ended(self, self.reason)
