Write news of servers only where somebody follows

Cause: since news of servers is packed for readers, each gateway wrote and deflated all of it for nobody, a whole list of servers at a start. Change: Board.servers counts such news and writes none; tests for both forms of news.

--- a/latchspoke/distribution/board.py
+++ b/latchspoke/distribution/board.py
@@ -165,8 +165,11 @@
 
     def servers(self, entries: Iterable[Entry], now: float) -> None:
         """These are news."""
-        told = [entry.wire(now) for entry in entries]
-        if told:
+        news = list(entries)
+        if news and not self.readers:
+            self.number += 1  # nobody follows here, as at most gateways
+        elif news:
+            told = [entry.wire(now) for entry in news]
             rest = {"k": "servers"} | self.pools()
             self.tell(rest | {"e": told}, rest | pack_entries(told, True))
 
--- a/tests/distribution/test_board.py
+++ b/tests/distribution/test_board.py
@@ -228,6 +228,31 @@
             gateway.take({**whole, "ez": "junk"}, 0.0)
 
 
+def test_news_of_many_servers_travels_deflated_to_who_can_read_that() -> None:
+    body: Any = {"service": "p", "address": "h:1", "zone": "a"}
+    source, packing, plain = board(), follower(), follower()
+    source.order(order(1, 1), 0.0)
+    readers = pipe(source, packs=True), pipe(source)
+    new = [source.registry.heard(read_beat(f"s{number}", body, 0.0), 0.0)[0] for number in range(60)]
+    source.servers(new, 0.0)
+    for reader, gateway, field in zip(readers, (packing, plain), ("ez", "e"), strict=True):
+        assert field in reader[-1] and reader[-1]["n"] == source.number
+        for message in reader:
+            gateway.take(message, 0.0)
+        assert len(gateway.board.registry.entries) == 60
+
+
+def test_news_that_nobody_follows_is_numbered_all_the_same() -> None:
+    source = board()
+    entry, _ = source.registry.heard(
+        read_beat("s1", cast(Any, {"service": "p", "address": "h:1", "zone": "a"}), 0.0), 0.0
+    )
+    before = source.number
+    source.servers([entry], 0.0)
+    source.servers([], 0.0)
+    assert source.number == before + 1
+
+
 def test_readers_who_come_back_together_share_what_is_packed_for_them() -> None:
     packs: list[int] = []
 
