Name the log's messages and records as Raft does

Cause: Vow, AskVote, GiveVote, Yield, Appended, Hello and Known were words of the project's own. Change: HardState, VoteRequest, VoteReply, TimeoutNow, AppendReply, BootQuery, BootReply, with their handlers and fields; tags on the wire and keys on the disk are as before, so that neighbouring releases understand each other.

--- a/latchspoke/agent/ledger.py
+++ b/latchspoke/agent/ledger.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from latchspoke.consensus.member import Output
-from latchspoke.consensus.records import Entry, Members, Snapshot, Stored, Vow
+from latchspoke.consensus.records import Entry, HardState, Members, Snapshot, Stored
 
 LAYOUT = 1
 TABLES = """
@@ -122,7 +122,7 @@
             os.close(folder)
 
     def read(self, start: Start) -> Stored:
-        vow, snapshot = self.fact("vow"), self.fact("snapshot")
+        hard_state, snapshot = self.fact("vow"), self.fact("snapshot")
         entries: list[Entry] = []
         for place, body, crc in self.db.execute("SELECT place, body, crc FROM entries ORDER BY place"):
             entry: Entry = msgspec.msgpack.decode(self.sound(body, crc, f"entry {place}"), type=Entry)
@@ -132,16 +132,14 @@
         found = msgspec.msgpack.decode(snapshot, type=Snapshot) if snapshot else Snapshot()
         if entries and entries[0].index != found.index + 1:
             raise LedgerError(f"{self.path}: entry {found.index + 1} is missing")
-        return Stored(
-            start.identity, start.boot, msgspec.msgpack.decode(vow, type=Vow) if vow else Vow(), found,
-            tuple(entries),
-        )  # fmt: skip
+        kept = msgspec.msgpack.decode(hard_state, type=HardState) if hard_state else HardState()
+        return Stored(start.identity, start.boot, kept, found, tuple(entries))
 
     def save(self, output: Output) -> None:
         """All of it is on the disk when this ends well, and none of it otherwise. Raises LedgerError."""
         with told(self.path), self.transaction():
-            if output.vow is not None:
-                self.put("vow", output.vow)
+            if output.hard_state is not None:
+                self.put("vow", output.hard_state)
             if output.snapshot is not None:
                 self.replace(output.snapshot)
             if output.first:
@@ -171,7 +169,7 @@
         self.put("snapshot", snapshot)
         self.db.execute("DELETE FROM entries WHERE place <= ?", (snapshot.index,))
 
-    def put(self, name: str, value: Start | Vow | Snapshot) -> None:
+    def put(self, name: str, value: Start | HardState | Snapshot) -> None:
         body = msgspec.msgpack.encode(value)
         self.db.execute("INSERT OR REPLACE INTO facts VALUES (?, ?, ?)", (name, body, zlib.crc32(body)))
 
--- a/latchspoke/configstore/guards.py
+++ b/latchspoke/configstore/guards.py
@@ -41,7 +41,7 @@
 
 
 def forget_votes(disk: Disk, output: Output) -> None:
-    output.vow = None
+    output.hard_state = None
     SAVE(disk, output)
 
 
@@ -185,15 +185,15 @@
 
 def any_log(member: Member, message: Any, now: float) -> None:
     last = message.last_index, message.last_term
-    ON_ASK_VOTE(member, msgspec.structs.replace(message, last_term=1 << 40, last_index=last[0]), now)
+    ON_VOTE_REQUEST(member, msgspec.structs.replace(message, last_term=1 << 40, last_index=last[0]), now)
 
 
-ON_ASK_VOTE = Member.on_ask_vote
+ON_VOTE_REQUEST = Member.on_vote_request
 
 
 def two_votes(member: Member, message: Any, now: float) -> None:
-    member.vow = msgspec.structs.replace(member.vow, vote="")
-    ON_ASK_VOTE(member, message, now)
+    member.hard_state = msgspec.structs.replace(member.hard_state, vote="")
+    ON_VOTE_REQUEST(member, message, now)
 
 
 def unsettled_reads(member: Member) -> None:
@@ -254,10 +254,10 @@
     peer = member.peers.get(message.source)
     if peer is not None and peer.boot:
         peer.boot = message.boot
-    ON_APPENDED(member, message, now)
+    ON_APPEND_REPLY(member, message, now)
 
 
-ON_APPENDED = Member.on_appended
+ON_APPEND_REPLY = Member.on_append_reply
 
 GUARDS: dict[str, Guard] = {
     "votes-synced": Guard(((Disk, "save", forget_votes),)),
@@ -288,15 +288,15 @@
     "majority": Guard(((Member, "advance", less_than_a_majority),)),
     "own-term": Guard(((Member, "advance", any_term),), "old_entries"),
     "restored": Guard(((Register, "restore", old_state),)),
-    "whole-log": Guard(((Member, "on_ask_vote", any_log),)),
-    "one-vote": Guard(((Member, "on_ask_vote", two_votes),)),
+    "whole-log": Guard(((Member, "on_vote_request", any_log),)),
+    "one-vote": Guard(((Member, "on_vote_request", two_votes),)),
     "settled-reads": Guard(((Member, "confirm_reads", unsettled_reads),), "handed_over", "read-index"),
     "read-index": Guard(((Member, "read", reads_what_it_knows),)),
     "leader-commit": Guard(((Member, "on_append", all_is_committed),)),
     "old-disk": Guard(((Member, "__init__", an_old_disk_votes),), "old_copy"),
     "boots": Guard(((Member, "receive", starts_alike),), "old_copy"),
     "match-by-boot": Guard(
-        ((Member, "on_appended", keeps_acknowledged),), "old_copy", "boots: what is synced is never less"
+        ((Member, "on_append_reply", keeps_acknowledged),), "old_copy", "boots: what is synced is never less"
     ),
 }
 
--- a/latchspoke/configstore/simulation.py
+++ b/latchspoke/configstore/simulation.py
@@ -18,7 +18,7 @@
 from latchspoke.configstore.register import Answer, Register, draw_of, founding
 from latchspoke.configstore.voters import CATCH_UP, NOWHERE, Place
 from latchspoke.consensus.member import Output
-from latchspoke.consensus.records import Entry, Snapshot, Stored, Vow
+from latchspoke.consensus.records import Entry, HardState, Snapshot, Stored
 
 DELAY = 0.02  # s, one way
 STEP = 0.05  # s between looks at what is due, at most
@@ -36,7 +36,7 @@
 
     identity: str = ""
     snapshot: Snapshot = field(default_factory=Snapshot)
-    vow: Vow = field(default_factory=Vow)
+    hard_state: HardState = field(default_factory=HardState)
     entries: dict[int, Entry] = field(default_factory=dict)
     boot: int = 0
     saves: int = 0
@@ -44,11 +44,11 @@
     def start(self) -> Stored:
         self.boot += 1
         entries = tuple(self.entries[i] for i in sorted(self.entries))
-        return Stored(self.identity, self.boot, self.vow, self.snapshot, entries)
+        return Stored(self.identity, self.boot, self.hard_state, self.snapshot, entries)
 
     def save(self, output: Output) -> None:
         self.saves += 1
-        self.vow = output.vow or self.vow
+        self.hard_state = output.hard_state or self.hard_state
         if output.snapshot is not None:
             self.compact(output.snapshot)
         if output.first:
--- a/latchspoke/consensus/member.py
+++ b/latchspoke/consensus/member.py
@@ -21,23 +21,23 @@
 from latchspoke.consensus.log import Log, members_entry
 from latchspoke.consensus.records import (
     Append,
-    Appended,
-    AskVote,
+    AppendReply,
+    BootQuery,
+    BootReply,
     Entry,
-    GiveVote,
-    Hello,
+    HardState,
     Install,
     InstallPart,
     InstallProgress,
     Kind,
-    Known,
     Members,
     Message,
     Snapshot,
     Stored,
-    Vow,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
     Wire,
-    Yield,
 )
 from latchspoke.consensus.transfer import Incoming, Outgoing
 
@@ -89,7 +89,7 @@
 class Output(msgspec.Struct):
     """What is to be done, in the order of these fields; see the module."""
 
-    vow: Vow | None = None
+    hard_state: HardState | None = None
     snapshot: Snapshot | None = None  # came from the leader: replaces all entries up to its index
     first: int = 0  # if above 0: the entries stored from here on are replaced by these
     entries: tuple[Entry, ...] = ()
@@ -104,7 +104,7 @@
 
     @property
     def to_store(self) -> bool:
-        return self.vow is not None or self.snapshot is not None or self.first > 0
+        return self.hard_state is not None or self.snapshot is not None or self.first > 0
 
 
 class Peer(msgspec.Struct):
@@ -134,7 +134,7 @@
     ) -> None:
         """``applied``: the state machines already hold all up to here (at least the snapshot)."""
         self.identity, self.boot, self.timing, self.draw = stored.identity, stored.boot, timing, draw
-        self.vow = stored.vow
+        self.hard_state = stored.hard_state
         self.log = Log(stored.snapshot, stored.entries)
         self.commit = self.applied = max(stored.snapshot.index, applied)
         self.role, self.leader = Role.FOLLOWER, ""
@@ -156,7 +156,7 @@
         self.incoming: Incoming | None = None  # a snapshot on its way from the leader
         self.output = Output()
         self.unstored = 0
-        self.saved_vow = self.vow
+        self.saved_hard_state = self.hard_state
         if stored.snapshot.index:
             self.output.restore = stored.snapshot
         self.wait(now)
@@ -171,7 +171,7 @@
 
     @property
     def term(self) -> int:
-        return self.vow.term
+        return self.hard_state.term
 
     @property
     def votes_itself(self) -> bool:
@@ -227,7 +227,7 @@
         fresh = {n: p for n, p in self.peers.items() if n in self.members.voters and self.fresh(p, now)}
         name = max(fresh, key=lambda name: (fresh[name].match, name), default="")
         if name:
-            self.say(Yield, name)
+            self.say(TimeoutNow, name)
             self.note("hands-over", name)
         return name
 
@@ -242,8 +242,8 @@
     def take(self) -> Output:
         """All that has come up since the last call."""
         output, self.output = self.output, Output()
-        if self.vow != self.saved_vow:
-            output.vow = self.saved_vow = self.vow
+        if self.hard_state != self.saved_hard_state:
+            output.hard_state = self.saved_hard_state = self.hard_state
         if self.unstored:
             output.first, self.unstored = self.unstored, 0
             output.entries = self.log.between(output.first, self.log.last)
@@ -287,7 +287,7 @@
     def greet(self, now: float) -> None:
         self.hello_at = now + HELLO_EVERY * self.timing.election
         for name in self.others():
-            self.say(Hello, name)
+            self.say(BootQuery, name)
         self.heed_greetings()
 
     def heed_greetings(self) -> None:
@@ -306,23 +306,23 @@
             return
         self.role, self.votes = Role.TRIAL, {self.identity}
         for name in self.voters_else():
-            self.ask_vote(name, trial=True)
+            self.request_vote(name, trial=True)
         self.count_votes(now)
 
     def campaign(self, now: float) -> None:
         self.role, self.votes = Role.CANDIDATE, {self.identity}
-        self.vow = Vow(self.term + 1, self.identity)
+        self.hard_state = HardState(self.term + 1, self.identity)
         self.wait(now)
         self.stand_early(now, 2.0)  # the votes come from as far as the trial's
         self.note("stands", f"term {self.term}")
         for name in self.voters_else():
-            self.ask_vote(name, trial=False)
+            self.request_vote(name, trial=False)
         self.count_votes(now)
 
-    def ask_vote(self, name: str, trial: bool) -> None:
+    def request_vote(self, name: str, trial: bool) -> None:
         last = self.log.last, self.log.last_term
         self.output.messages.append(
-            AskVote(self.identity, name, self.boot, self.term + trial, last[0], last[1], trial)
+            VoteRequest(self.identity, name, self.boot, self.term + trial, last[0], last[1], trial)
         )
 
     def count_votes(self, now: float) -> None:
@@ -342,32 +342,32 @@
         # Entries of former terms are committed with this one, and never by their count alone.
         self.add_entry(Entry(self.elected_index, self.term), now)
 
-    def on_ask_vote(self, message: AskVote, now: float) -> None:
+    def on_vote_request(self, message: VoteRequest, now: float) -> None:
         whole = (message.last_term, message.last_index) >= (self.log.last_term, self.log.last)
         if message.trial:
             granted = whole and message.term > self.term and not self.mute
             term = message.term if granted else self.term
             self.output.messages.append(
-                GiveVote(self.identity, message.source, self.boot, term, granted, True)
+                VoteReply(self.identity, message.source, self.boot, term, granted, True)
             )
             return
-        free = self.vow.vote in ("", message.source)
+        free = self.hard_state.vote in ("", message.source)
         granted = message.term == self.term and free and whole and not self.mute
         if granted:
-            self.vow = Vow(self.term, message.source)
+            self.hard_state = HardState(self.term, message.source)
             self.wait(now)
         self.output.messages.append(
-            GiveVote(self.identity, message.source, self.boot, self.term, granted, False)
+            VoteReply(self.identity, message.source, self.boot, self.term, granted, False)
         )
 
-    def on_give_vote(self, message: GiveVote, now: float) -> None:
+    def on_vote_reply(self, message: VoteReply, now: float) -> None:
         wanted = Role.TRIAL if message.trial else Role.CANDIDATE
         term = self.term + message.trial
         if message.granted and self.role is wanted and message.term == term:
             self.votes.add(message.source)
             self.count_votes(now)
 
-    def on_yield(self, message: Yield, now: float) -> None:
+    def on_timeout_now(self, message: TimeoutNow, now: float) -> None:
         if self.votes_itself and not self.mute and message.term == self.term:
             # The leader itself has asked for it, so nobody who hears it need stand by that leader.
             self.campaign(now)
@@ -375,7 +375,7 @@
     def follow(self, leader: str, now: float, term: int | None = None) -> None:
         """Step back, and up to this term if it is a later one."""
         if term is not None and term > self.term:
-            self.vow = Vow(term)
+            self.hard_state = HardState(term)
         if self.role is Role.LEADER:
             self.note("steps-back", f"term {self.term}")
             reads = [read for turn in self.turns.values() for read in turn] + self.asked + self.patient
@@ -394,18 +394,18 @@
             return
         known = self.boots.get(message.source, 0)
         if message.boot < known:
-            self.tell_known(message.source, known)
+            self.reply_boot(message.source, known)
             return
         self.boots[message.source] = message.boot
-        if isinstance(message, Hello):
-            self.tell_known(message.source, message.boot)
+        if isinstance(message, BootQuery):
+            self.reply_boot(message.source, message.boot)
             return
-        if isinstance(message, Known):
-            self.on_known(message)
+        if isinstance(message, BootReply):
+            self.on_boot_reply(message)
             return
-        if isinstance(message, AskVote) and self.stands_by(message, now):
+        if isinstance(message, VoteRequest) and self.stands_by(message, now):
             return
-        prospective = isinstance(message, AskVote | GiveVote) and message.trial
+        prospective = isinstance(message, VoteRequest | VoteReply) and message.trial
         if message.term > self.term and not (prospective and getattr(message, "granted", True)):
             leads = message.source if isinstance(message, FROM_LEADER) else ""
             self.follow(leads, now, message.term)
@@ -414,7 +414,7 @@
             return
         HANDLERS[type(message)](self, message, now)
 
-    def stands_by(self, message: AskVote, now: float) -> bool:
+    def stands_by(self, message: VoteRequest, now: float) -> bool:
         """Whether a leader is at work, so that no other is wanted: removed or cut-off members ask often."""
         if self.leader in ("", message.source) or (not message.trial and message.term == self.term + 1):
             # Whoever stands at the very next term has passed a trial, or the leader itself has asked it to.
@@ -424,14 +424,14 @@
     def on_old_term(self, message: Message) -> None:
         """A leader or candidate of an earlier term is told of this one."""
         if isinstance(message, FROM_LEADER):
-            self.say(Appended, message.source)
-        elif isinstance(message, AskVote):
-            self.say(GiveVote, message.source, trial=message.trial)
+            self.say(AppendReply, message.source)
+        elif isinstance(message, VoteRequest):
+            self.say(VoteReply, message.source, trial=message.trial)
 
-    def tell_known(self, name: str, latest: int) -> None:
-        self.say(Known, name, latest=latest)
+    def reply_boot(self, name: str, latest: int) -> None:
+        self.say(BootReply, name, latest=latest)
 
-    def on_known(self, message: Known) -> None:
+    def on_boot_reply(self, message: BootReply) -> None:
         if message.latest > self.boot:
             self.role, self.leader = Role.HALTED, ""
             self.note("old-disk", f"start {self.boot}; {message.source} has heard of start {message.latest}")
@@ -447,7 +447,7 @@
             self.confirm(message.source, self.commit, message.turn)
             return
         if self.log.term(before) != message.before_term:
-            self.say(Appended, message.source, index=self.hint(before), turn=message.turn)
+            self.say(AppendReply, message.source, index=self.hint(before), turn=message.turn)
             return
         for entry in message.entries:
             term = self.log.term(entry.index)
@@ -507,7 +507,7 @@
         self.wait(now)
 
     def confirm(self, leader: str, index: int, turn: int) -> None:
-        self.say(Appended, leader, ok=True, index=index, turn=turn)
+        self.say(AppendReply, leader, ok=True, index=index, turn=turn)
 
     # The leader's part.
 
@@ -587,7 +587,7 @@
             turn=self.turn,
         )  # fmt: skip
 
-    def answering(self, message: Appended | InstallProgress, now: float) -> Peer | None:
+    def answering(self, message: AppendReply | InstallProgress, now: float) -> Peer | None:
         """The follower that answers this leader; None if this is no leader, or the sender no member."""
         peer = self.peers.get(message.source)
         if self.role is not Role.LEADER or peer is None:
@@ -608,7 +608,7 @@
             peer.installing_until = 0.0
             self.send(message.source, peer, now)
 
-    def on_appended(self, message: Appended, now: float) -> None:
+    def on_append_reply(self, message: AppendReply, now: float) -> None:
         peer = self.answering(message, now)
         if peer is None:
             return
@@ -695,12 +695,12 @@
 
 
 HANDLERS: dict[type, Callable[[Member, Message, float], None]] = {
-    AskVote: Member.on_ask_vote,  # type: ignore[dict-item]
-    GiveVote: Member.on_give_vote,  # type: ignore[dict-item]
+    VoteRequest: Member.on_vote_request,  # type: ignore[dict-item]
+    VoteReply: Member.on_vote_reply,  # type: ignore[dict-item]
     Append: Member.on_append,  # type: ignore[dict-item]
     Install: Member.on_install,  # type: ignore[dict-item]
     InstallPart: Member.on_install_part,  # type: ignore[dict-item]
     InstallProgress: Member.on_install_progress,  # type: ignore[dict-item]
-    Appended: Member.on_appended,  # type: ignore[dict-item]
-    Yield: Member.on_yield,  # type: ignore[dict-item]
+    AppendReply: Member.on_append_reply,  # type: ignore[dict-item]
+    TimeoutNow: Member.on_timeout_now,  # type: ignore[dict-item]
 }
--- a/latchspoke/consensus/records.py
+++ b/latchspoke/consensus/records.py
@@ -66,7 +66,7 @@
     body: bytes = b""
 
 
-class Vow(msgspec.Struct, frozen=True):
+class HardState(msgspec.Struct, frozen=True):
     """What a member may never go back on: its term, and whom it has given its vote in it."""
 
     term: int = 0
@@ -78,7 +78,7 @@
 
     identity: str
     boot: int  # starts of this store so far, this one counted
-    vow: Vow = Vow()
+    hard_state: HardState = HardState()
     snapshot: Snapshot = Snapshot()
     entries: tuple[Entry, ...] = ()
 
@@ -92,7 +92,7 @@
     term: int
 
 
-class AskVote(Message, frozen=True, tag="ask-vote"):
+class VoteRequest(Message, frozen=True, tag="ask-vote"):
     """``trial``: a question without consequences, before a term is spent on it."""
 
     last_index: int = 0
@@ -100,7 +100,7 @@
     trial: bool = False
 
 
-class GiveVote(Message, frozen=True, tag="give-vote"):
+class VoteReply(Message, frozen=True, tag="give-vote"):
     granted: bool = False
     trial: bool = False
 
@@ -142,7 +142,7 @@
     turn: int = 0
 
 
-class Appended(Message, frozen=True, tag="appended"):
+class AppendReply(Message, frozen=True, tag="appended"):
     """``index``: up to here the log is the leader's and synced; or where to try again, if not ``ok``."""
 
     ok: bool = False
@@ -150,22 +150,31 @@
     turn: int = 0
 
 
-class Hello(Message, frozen=True, tag="hello"):
+class BootQuery(Message, frozen=True, tag="hello"):
     """A member that has just started asks whether anybody knows a later start of it."""
 
 
-class Known(Message, frozen=True, tag="known"):
+class BootReply(Message, frozen=True, tag="known"):
     """The latest start that the sender has heard of."""
 
     latest: int = 0
 
 
-class Yield(Message, frozen=True, tag="yield"):
+class TimeoutNow(Message, frozen=True, tag="yield"):
     """The leader leaves: this member, whose log is whole, is to stand at once."""
 
 
 Wire = (
-    AskVote | GiveVote | Append | Install | InstallPart | InstallProgress | Appended | Hello | Known | Yield
+    VoteRequest
+    | VoteReply
+    | Append
+    | Install
+    | InstallPart
+    | InstallProgress
+    | AppendReply
+    | BootQuery
+    | BootReply
+    | TimeoutNow
 )
 ENCODER = msgspec.msgpack.Encoder()
 DECODER: msgspec.msgpack.Decoder[Wire] = msgspec.msgpack.Decoder(Wire)
--- a/latchspoke/ctl/stores.py
+++ b/latchspoke/ctl/stores.py
@@ -124,7 +124,7 @@
     members = stored.snapshot.members
     return {
         "file": str(path), "kind": "store", "layout": LAYOUT, "bytes": size(path),
-        "identity": stored.identity, "starts": stored.boot - 1, "term": stored.vow.term,
+        "identity": stored.identity, "starts": stored.boot - 1, "term": stored.hard_state.term,
         "snapshot": stored.snapshot.index, "entries": len(stored.entries), "last": applied,
         "voters": list(members.voters), "learners": list(members.learners), "guests": list(members.guests),
         "version": f"{orders.version:08x}", "index": orders.index, "history": len(orders.history),
--- a/latchspoke/lab/schedules/changes.py
+++ b/latchspoke/lab/schedules/changes.py
@@ -14,7 +14,7 @@
 
 from latchspoke.consensus.machines import Machines, Result
 from latchspoke.consensus.member import Member
-from latchspoke.consensus.records import AskVote, Wire
+from latchspoke.consensus.records import VoteRequest, Wire
 from latchspoke.duties.desk import Desk
 from latchspoke.duties.holder import Holder, Right
 from latchspoke.duties.machine import DutiesMachine
@@ -52,7 +52,7 @@
 @change(Disk, "lose")
 def entries_not_synced(disk: Disk) -> None:
     """The last of them are lost with the process, as if they had only been written."""
-    disk.vow, disk.snapshot, entries, disk.boot = disk.safe
+    disk.hard_state, disk.snapshot, entries, disk.boot = disk.safe
     disk.entries = entries[:-2]
 
 
@@ -133,7 +133,7 @@
 
 @change(Member, "receive")
 def vote_for_a_shorter_log(member: Member, message: Wire, now: float) -> None:
-    if isinstance(message, AskVote):
+    if isinstance(message, VoteRequest):
         message = msgspec.structs.replace(message, last_index=1 << 40, last_term=1 << 40)
     RECEIVE(member, message, now)
 
--- a/latchspoke/lab/schedules/world.py
+++ b/latchspoke/lab/schedules/world.py
@@ -19,7 +19,7 @@
 from latchspoke.consensus import records
 from latchspoke.consensus.machines import Command as Logged
 from latchspoke.consensus.member import Member, Output, Role, Timing
-from latchspoke.consensus.records import Entry, Kind, Members, Snapshot, Stored, Vow, name_of
+from latchspoke.consensus.records import Entry, HardState, Kind, Members, Snapshot, Stored, name_of
 from latchspoke.duties.holder import Holder
 from latchspoke.duties.machine import NAME as DUTIES
 from latchspoke.duties.office import Done, Look, Office, Refused, Reply, Shown, put_duty
@@ -129,18 +129,18 @@
 
     def __init__(self, identity: str, members: Members) -> None:
         self.identity, self.boot = identity, 0
-        self.vow, self.snapshot = Vow(), Snapshot(members=members)
+        self.hard_state, self.snapshot = HardState(), Snapshot(members=members)
         self.entries: tuple[Entry, ...] = ()
         self.full = False
         self.safe = self.state()
 
-    def state(self) -> tuple[Vow, Snapshot, tuple[Entry, ...], int]:
-        return self.vow, self.snapshot, self.entries, self.boot
+    def state(self) -> tuple[HardState, Snapshot, tuple[Entry, ...], int]:
+        return self.hard_state, self.snapshot, self.entries, self.boot
 
     def write(self, output: Output) -> None:
         if self.full:
             raise DiskFullError
-        self.vow = output.vow or self.vow
+        self.hard_state = output.hard_state or self.hard_state
         if output.snapshot is not None:
             self.compact(output.snapshot)
         if output.first:
@@ -155,12 +155,12 @@
         self.safe = self.state()
 
     def lose(self) -> None:
-        self.vow, self.snapshot, self.entries, self.boot = self.safe
+        self.hard_state, self.snapshot, self.entries, self.boot = self.safe
 
     def start(self) -> Stored:
         self.boot += 1
         self.sync()
-        return Stored(self.identity, self.boot, self.vow, self.snapshot, self.entries)
+        return Stored(self.identity, self.boot, self.hard_state, self.snapshot, self.entries)
 
 
 class Process:
--- a/tests/agent/test_members.py
+++ b/tests/agent/test_members.py
@@ -23,7 +23,7 @@
 from latchspoke.agent.links import Frame, Greet, Links
 from latchspoke.agent.members import MemberDriver
 from latchspoke.consensus.member import Output
-from latchspoke.consensus.records import Entry, Kind, Members, Vow
+from latchspoke.consensus.records import Entry, HardState, Kind, Members
 from latchspoke.duties.machine import NAME as DUTIES
 from latchspoke.duties.office import Done, Look, Refused, Shown, put_duty, read_duties
 from latchspoke.duties.records import Define, Rule
@@ -324,12 +324,12 @@
     ledger = Ledger(tmp_path / "members.db")
     assert ledger.start("a1", "77", founder=True).snapshot.members == Members(("a1#77",))
     entries = tuple(Entry(n, 1, Kind.DATA, b"x") for n in range(1, 6))
-    ledger.save(Output(vow=Vow(1, "a1#77"), first=1, entries=entries))
+    ledger.save(Output(hard_state=HardState(1, "a1#77"), first=1, entries=entries))
     ledger.save(Output(first=4, entries=(Entry(4, 2),)))
     ledger.close()
     again = Ledger(tmp_path / "members.db")
     stored = again.start("a1", "88", founder=True)
-    assert (stored.identity, stored.boot, stored.vow) == ("a1#77", 2, Vow(1, "a1#77"))
+    assert (stored.identity, stored.boot, stored.hard_state) == ("a1#77", 2, HardState(1, "a1#77"))
     assert [(e.index, e.term) for e in stored.entries] == [(1, 1), (2, 1), (3, 1), (4, 2)]
     again.db.execute("UPDATE entries SET body = x'00' WHERE place = 2")
     with pytest.raises(LedgerError, match="entry 2 is damaged"):
--- a/tests/configstore/test_store.py
+++ b/tests/configstore/test_store.py
@@ -16,7 +16,7 @@
 from latchspoke.configstore.register import Register, founding
 from latchspoke.configstore.simulation import modify, patch, replace
 from latchspoke.consensus.member import Output
-from latchspoke.consensus.records import Entry, Kind, Stored, Vow
+from latchspoke.consensus.records import Entry, HardState, Kind, Stored
 
 ME = "10.0.0.1:7600"
 CHANGES = 6000
@@ -138,7 +138,7 @@
     path = folder / "register.db"
     made, _ = opened(folder)
     entries = tuple(Entry(n, 1, Kind.DATA, b"precious" * 200) for n in (2, 3, 4))
-    made.save(Output(vow=Vow(1, ME), first=2, entries=entries))
+    made.save(Output(hard_state=HardState(1, ME), first=2, entries=entries))
     made.close()
     shutil.copyfile(path, path.with_suffix(".older"))
     for _ in range(2):
--- a/tests/consensus/test_member.py
+++ b/tests/consensus/test_member.py
@@ -9,7 +9,17 @@
 
 from latchspoke.consensus import records
 from latchspoke.consensus.member import ChangeError, Member, NotLeaderError, Output, Role, Timing, batch
-from latchspoke.consensus.records import Append, AskVote, Entry, Kind, Known, Members, Snapshot, Stored, Vow
+from latchspoke.consensus.records import (
+    Append,
+    BootReply,
+    Entry,
+    HardState,
+    Kind,
+    Members,
+    Snapshot,
+    Stored,
+    VoteRequest,
+)
 
 TIMING = Timing(beat=0.1, election=1.0)
 
@@ -48,7 +58,7 @@
     def keep(self, name: str, output: Output) -> None:
         old = self.stored[name]
         entries = tuple(e for e in old.entries if not output.first or e.index < output.first) + output.entries
-        self.stored[name] = Stored(name, old.boot, output.vow or old.vow, old.snapshot, entries)
+        self.stored[name] = Stored(name, old.boot, output.hard_state or old.hard_state, old.snapshot, entries)
         self.applied[name] += output.committed
         self.outputs[name] = output
 
@@ -62,7 +72,7 @@
 
     def restart(self, name: str) -> Member:
         old = self.stored[name]
-        self.stored[name] = Stored(name, old.boot + 1, old.vow, old.snapshot, old.entries)
+        self.stored[name] = Stored(name, old.boot + 1, old.hard_state, old.snapshot, old.entries)
         self.applied[name] = []
         self.members[name] = self.made(name)
         return self.members[name]
@@ -171,18 +181,18 @@
     group.settle()
     stored = group.stored[leader.identity]
     group.stored[leader.identity] = Stored(
-        stored.identity, stored.boot, Vow(5), stored.snapshot, stored.entries
+        stored.identity, stored.boot, HardState(5), stored.snapshot, stored.entries
     )
     member = group.restart(leader.identity)
     member.mute = False
     member.campaign(group.now)
     other, third = group.apart
-    member.receive(records.GiveVote(other, member.identity, 1, 6, True), group.now)
+    member.receive(records.VoteReply(other, member.identity, 1, 6, True), group.now)
     assert member.role is Role.LEADER
     for name in (other, third):
-        member.receive(records.Appended(name, member.identity, 1, 6, True, entry, 1), group.now)
+        member.receive(records.AppendReply(name, member.identity, 1, 6, True, entry, 1), group.now)
     assert member.commit < entry
-    member.receive(records.Appended(other, member.identity, 1, 6, True, entry + 1, 1), group.now)
+    member.receive(records.AppendReply(other, member.identity, 1, 6, True, entry + 1, 1), group.now)
     assert member.commit == entry + 1
 
 
@@ -191,15 +201,15 @@
     other = next(name for name in group.names if name != leader.identity)
     third = next(name for name in group.names if name not in (leader.identity, other))
     group.now += 5.0
-    ask = AskVote(third, other, 1, leader.term + 1, 99, 99)
+    ask = VoteRequest(third, other, 1, leader.term + 1, 99, 99)
     group.members[other].receive(ask, group.now)
     output = group.members[other].take()
-    assert output.vow == Vow(leader.term + 1, third)
+    assert output.hard_state == HardState(leader.term + 1, third)
     group.keep(other, output)
     member = group.restart(other)
     member.mute = False
-    member.receive(AskVote(leader.identity, other, 1, leader.term + 1, 99, 99), group.now)
-    assert [m.granted for m in member.take().messages if isinstance(m, records.GiveVote)] == [False]
+    member.receive(VoteRequest(leader.identity, other, 1, leader.term + 1, 99, 99), group.now)
+    assert [m.granted for m in member.take().messages if isinstance(m, records.VoteReply)] == [False]
 
 
 def test_a_restarted_member_votes_only_once_a_majority_knows_no_later_start(group: Group) -> None:
@@ -231,10 +241,10 @@
 def test_one_that_knows_of_a_later_start_says_so(group: Group) -> None:
     leader = group.leader()
     other = next(name for name in group.names if name != leader.identity)
-    leader.receive(AskVote(other, leader.identity, 5, 0), group.now)
+    leader.receive(VoteRequest(other, leader.identity, 5, 0), group.now)
     leader.take()
-    leader.receive(AskVote(other, leader.identity, 4, 0), group.now)
-    assert [m.latest for m in leader.take().messages if isinstance(m, Known)] == [5]
+    leader.receive(VoteRequest(other, leader.identity, 4, 0), group.now)
+    assert [m.latest for m in leader.take().messages if isinstance(m, BootReply)] == [5]
 
 
 def test_members_are_changed_one_by_one(group: Group) -> None:
