--- a/latchspoke/configstore/voters.py
+++ b/latchspoke/configstore/voters.py
@@ -28,7 +28,7 @@
 VOTERS_MOST = 7  # survives three lost machines; odd
 FORGET = 15.0  # s without a word after which a guest is no longer replicated to
 LOST_SHARE = 0.25  # of ``catchUpS``: silence after which a voter's place is given to a guest
-LOST_LEAST = 0.9  # s; eight heartbeats and more than an election, whatever ``catchUpS`` is
+LOST_LEAST = 0.9  # s; six heartbeats and more than an election, whatever ``catchUpS`` is
 PAUSE = 0.4  # s between two looks that say that this process itself stood still
 CATCH_UP = 4.0  # s, if no bound tells
 
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -10,6 +10,8 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
+
 from barleyhub.line import budget, dispatch, quota, stock
 from latchspoke.agent.ledger import LedgerError
 from latchspoke.configstore.orders import Orders
@@ -59,7 +61,7 @@
     def compiled(doc: Any) -> Any:
         table = old(doc)
         for route in table.routes.values():
-            object.__setattr__(route, "repeatable", True)
+            msgspec.structs.force_setattr(route, "repeatable", True)
         return table
 
     return compiled
