Tell of answers that go to another request, come late or are strays

Change: an Answer carries the X-Attempt-Id it bears; event=foreign-answer and answers.foreign name an answer that goes to a request it isn't stamped for, and whether it was an attempt's or a kept failure; answers.late counts answers to requests that are over; event=stray-answer names the server. No logic is changed.

--- a/latchspoke/dataplane/back.py
+++ b/latchspoke/dataplane/back.py
@@ -18,6 +18,7 @@
 from latchspoke.core import Forward
 from latchspoke.dataplane.core import LineCore
 from latchspoke.net.http import Connection, FramingError, ParserError, Shared, parse_error, read_decimal
+from latchspoke.transport.log import log
 
 WARY = 15.0  # s after a reset right behind a request on a kept connection: its server forgets idle ones
 WARY_IDLE = 0.3  # s that a connection may then have been idle, for a request that can't be repeated
@@ -44,12 +45,15 @@
 
 
 class Answer:
-    """A server's whole answer, as it goes back: status, headers but those of one connection, body."""
+    """A server's whole answer, as it goes back: status, headers but those of one connection, body.
 
-    __slots__ = ("body", "headers", "status")
+    ``attempt`` is the ``X-Attempt-Id`` that the server has put into it.
+    """
 
-    def __init__(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        self.status, self.headers, self.body = status, headers, body
+    __slots__ = ("attempt", "body", "headers", "status")
+
+    def __init__(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes, attempt: bytes) -> None:
+        self.status, self.headers, self.body, self.attempt = status, headers, body, attempt
 
 
 class Request:
@@ -153,6 +157,10 @@
         if told is not None and told != request.ident:
             # An extra answer to an earlier request: nobody's any more, and the right one may still come.
             self.shared.stats["answers.stray"] += 1
+            log(
+                "stray-answer", server=self.upstream_pool.upstream.ident, status=status,
+                attempt=request.ident.decode("latin-1"), stamped=told.decode("latin-1"),
+            )  # fmt: skip
             self.keep = False
             return
         self.keep = self.keep and self.parser.should_keep_alive()
@@ -171,13 +179,13 @@
         elif told is None or not (framed or status in (204, 304) or request.method == b"HEAD"):
             self.done = api.Code.RESET, None, NOTHING
         elif status >= 500:
-            self.done = api.Code.ERROR, Answer(status, pairs, body), NOTHING
+            self.done = api.Code.ERROR, Answer(status, pairs, body, told), NOTHING
         elif status < 300 and (b"x-server-seal" not in headers or b"content-encoding" in headers):
             self.shared.stats["answers.spoilt"] += 1
             self.keep = False
             self.done = api.Code.RESET, None, NOTHING
         else:
-            self.done = api.Code.OK, Answer(status, pairs, body), NOTHING
+            self.done = api.Code.OK, Answer(status, pairs, body, told), NOTHING
 
     def read_keep_alive(self, text: bytes) -> None:
         for item in text.split(b","):
@@ -196,6 +204,8 @@
         else:
             self.upstream_pool.keep(self)
         code, answer, report = done
+        if forward.flow.closed:
+            self.shared.stats["answers.late"] += 1
         if code is api.Code.ERROR:
             forward.flow.client.spare = answer  # type: ignore[attr-defined]
         self.upstream_pools.core.ended(forward, code, self.shared.clock.now(), answer, report)
--- a/latchspoke/dataplane/front.py
+++ b/latchspoke/dataplane/front.py
@@ -25,6 +25,7 @@
     parse_error,
     read_decimal,
 )
+from latchspoke.transport.log import log
 
 if TYPE_CHECKING:
     from barleyhub.affinity.order import Caller
@@ -167,6 +168,7 @@
 
     def served(self, answer: object) -> None:
         assert isinstance(answer, Answer)
+        self.note_foreign(answer, "attempt")
         self.write_answer(answer)
 
     def refused(self, retry_after: float | None) -> None:
@@ -177,10 +179,21 @@
 
     def failed(self) -> None:
         if self.spare is not None:
+            self.note_foreign(self.spare, "kept failure")
             self.write_answer(self.spare)
         else:
             self.plain(502)
 
+    def note_foreign(self, answer: Answer, source: str) -> None:
+        """Tell of an answer that goes to a request it isn't stamped for, and where it came from."""
+        asked = self.headers.get(b"x-attempt-id", b"")
+        if answer.attempt != asked:
+            self.shared.stats["answers.foreign"] += 1
+            log(
+                "foreign-answer", source=source, status=answer.status, attempt=asked.decode("latin-1"),
+                stamped=answer.attempt.decode("latin-1"),
+            )  # fmt: skip
+
     def plain(self, status: int, retry_after: float | None = None, more: bytes = b"") -> None:
         """An answer of this system's own; ``more``: header lines."""
         self.shared.stats[f"answers.{status}"] += 1
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -138,7 +138,7 @@
 
 def spoilt(old: Any) -> Any:
     def write(self: Any, answer: Any) -> None:
-        old(self, back.Answer(answer.status, answer.headers, answer.body[:-1] + b"?"))
+        old(self, back.Answer(answer.status, answer.headers, answer.body[:-1] + b"?", answer.attempt))
 
     return write
 
