--- a/latchspoke/lab/system/__main__.py
+++ b/latchspoke/lab/system/__main__.py
@@ -27,6 +27,7 @@
     draw_day,
     draw_deployment,
     draw_losses,
+    draw_stutter,
     read,
     read_day,
 )
@@ -99,20 +100,21 @@
 @app.command
 def hunt(
     deployment: str, *, seed: int = 1, days: int = 40, processes: int = 2, guard: Without = "",
-    drawn: bool = False, more: int = 0, losses: bool = False,
+    drawn: bool = False, more: int = 0, losses: bool = False, stutter: bool = False,
 ) -> int:  # fmt: skip
     """Play many days, and shorten the first that breaks a rule.
 
     With --losses control machines are replaced one after the other, each as soon as the one before counts.
+    With --stutter servers answer twice, the second time late, while they are slow or fail.
 
     With --drawn each day is one of a deployment of its own, drawn by the day's seed. --more gives each day so
     many further troubles.
     """
     known(guard)
     seeds = range(seed, seed + days)
-    if losses:
-        place = deployment_of(deployment)
-        pairs = [(place, draw_losses(place, n)) for n in seeds]
+    if losses or stutter:
+        place, theme = deployment_of(deployment), draw_stutter if stutter else draw_losses
+        pairs = [(place, theme(place, n)) for n in seeds]
     elif drawn:
         pairs = [(place, draw_day(place, n, more)) for n in seeds for place in [draw_deployment(n)]]
     else:
--- a/latchspoke/lab/system/day.py
+++ b/latchspoke/lab/system/day.py
@@ -272,6 +272,7 @@
 
     do_garbage = do_lost_answers
     do_idle_race = do_lost_answers
+    do_stutter = do_lost_answers
 
     def do_grey(self, t: Trouble) -> None:
         """Some servers fail many requests, or all, and say that they are well."""
--- a/latchspoke/lab/system/records.py
+++ b/latchspoke/lab/system/records.py
@@ -225,7 +225,7 @@
     "scale_out",
 )  # kinds that are of one service
 ENDS = ("end_power", "end_kill", "end_wipe")
-WRITTEN = ("rolling", "rollout", "replace")  # in a day's file or by ``draw_losses`` alone
+WRITTEN = ("rolling", "rollout", "replace", "stutter")  # in a day's file, or of a theme of its own
 REPLACED = ("", "oldest", "planned", "leader")  # how control machines are replaced
 LAST = 9.0  # s before the end of traffic, a closing fault or the last trouble
 
@@ -265,6 +265,37 @@
     return Day(seed, tuple(sorted(troubles, key=lambda t: t.at)))
 
 
+def draw_stutter(deployment: Deployment, seed: int) -> Day:
+    """Servers that answer twice, while they are slow or fail and much else changes."""
+    draw = random.Random(f"stutter:{deployment.name}:{seed}")
+    last = max(deployment.length - LAST, 4.0)
+    names = [service.name for service in deployment.services]
+    troubles = [
+        Trouble(round(draw.uniform(0.2, last / 2), 2), "stutter", round(draw.uniform(4, last), 2), 1,
+                round(draw.uniform(0.05, 0.4), 3), "", name)
+        for name in names for _ in range(draw.randint(1, 2))
+    ]  # fmt: skip
+    for _ in range(draw.randint(2, 4)):
+        how, name = draw.choice(("errors", "slow", "sick", "sick", "hang")), draw.choice(names)
+        lasts = round(draw.uniform(3, 10), 2)
+        at = round(draw.uniform(0.5, last), 2)
+        troubles.append(Trouble(at, "grey", lasts, draw.randint(1, 4), 0.6, how, name))
+    beside = (
+        "roll_term",
+        "release",
+        "crash",
+        "lost_answers",
+        "rush",
+        "kill",
+        "change",
+        "freeze",
+        "idle_race",
+    )
+    for _ in range(draw.randint(3, 6)):
+        troubles.append(draw_trouble(draw, draw.choice(beside), draw.uniform(0.5, last), deployment))
+    return Day(seed, tuple(sorted(troubles, key=lambda t: t.at)), draw.choice((0.7, 1.0, 1.25)))
+
+
 def draw_day(deployment: Deployment, seed: int, more: int = 0) -> Day:
     """Planned work early and late, faults between (``more`` beside the usual), perhaps one to end the day."""
     draw = random.Random(f"day:{deployment.name}:{seed}")
--- a/latchspoke/lab/system/rules.py
+++ b/latchspoke/lab/system/rules.py
@@ -146,13 +146,20 @@
 @rule("MIXED")
 def mixed(view: View) -> Iterator[Finding]:
     for attempt in view.record.tries.values():
+        if attempt.told and attempt.told != attempt.ident:
+            what = f"{attempt.status}, the answer to another request: {attempt.told}"
+            yield Finding("MIXED", attempt.ended, what, attempt.ident)
+            continue
+        arrivals = view.by_id.get(attempt.ident, ())
         if not 200 <= attempt.status < 300:
+            if attempt.seal and not any(
+                a.seal == attempt.seal and a.status == attempt.status for a in arrivals
+            ):
+                yield Finding("MIXED", attempt.ended, "a failure that no server gave so", attempt.ident)
             continue
-        given = [a for a in view.by_id.get(attempt.ident, ()) if a.status == 200 and a.answer]
-        if not attempt.seal or (attempt.told and attempt.told != attempt.ident):
-            yield Finding(
-                "MIXED", attempt.ended, "a success without seal, or of another request", attempt.ident
-            )
+        given = [a for a in arrivals if a.status == 200 and a.answer]
+        if not attempt.seal:
+            yield Finding("MIXED", attempt.ended, "a success without seal", attempt.ident)
         elif not any(a.seal == attempt.seal and a.answer == attempt.answer for a in given):
             yield Finding("MIXED", attempt.ended, "a success that no server gave so", attempt.ident)
     for at, gateway, what in view.record.odd:
--- a/latchspoke/lab/system/servers.py
+++ b/latchspoke/lab/system/servers.py
@@ -49,7 +49,8 @@
     among: frozenset[str] | None = None  # ids of lives; None: all of the service
 
 
-SLOW = 8.0  # times as slow as usual: a grey server
+STUTTERED = (0.004, 0.02, 0.3, 2.0)  # s at most until a second answer: at once, or behind other requests
+SLOW = 8.0  # times as slow as usual: a grey server; a sick one fails after that time
 
 
 @dataclass
@@ -395,7 +396,7 @@
         if self.cold:
             took *= self.service.cold_slow
         if job.ill:
-            took *= {"slow": SLOW, "hang": 1000.0}.get(job.ill, 1.0)
+            took *= {"slow": SLOW, "sick": SLOW, "hang": 1000.0}.get(job.ill, 1.0)
         job.arrival.ran = True
         if server_fleet.deployment.callers is not None:
             self.tries[job.arrival.ident] = job.arrival
@@ -415,12 +416,14 @@
         self.served += 1
         if late and job.ill == "hang":
             arrival.broke = True  # it never says a word, and its slot is free once the deadline is over
-        elif late:
+            self.next()
+            return
+        arrival.seal = f"{self.ident}.{self.served:x}.{server_fleet.draw.getrandbits(24):06x}"
+        if late:
             self.reply(job.taker, 504, b"", arrival)
-        elif job.ill == "errors":
+        elif job.ill in ("errors", "sick"):
             self.reply(job.taker, 500, b"", arrival)
         else:
-            arrival.seal = f"{self.ident}.{self.served:x}.{server_fleet.draw.getrandbits(24):06x}"
             kind = server_fleet.kinds.get(arrival.path.split("/")[1])
             size = kind.answer if kind else 100
             arrival.answer = (arrival.seal + ";").encode() * (size // 24 + 1)
@@ -429,6 +432,7 @@
                 self.spoil(job.taker, arrival, mischief)
             else:
                 self.reply(job.taker, 200, b"", arrival)
+        self.stutter(job.taker, arrival)
         self.next()
 
     def next(self) -> None:
@@ -455,7 +459,7 @@
         head = [b"HTTP/1.1 %d X\r\n" % status, more]
         if arrival is not None:
             head.append(b"X-Attempt-Id: %b\r\n" % arrival.ident.encode("latin-1"))
-            if arrival.seal and status == 200:
+            if arrival.seal:
                 head.append(b"X-Server-Seal: %b\r\n" % arrival.seal.encode())
         if self.state == "draining":
             head.append(b"Connection: close\r\n")
@@ -489,9 +493,18 @@
                 arrival.broke = True
                 end.write(b"\x00\x01 no answer \xff\r\n\r\n")
 
-    def stray(self, arrival: Arrival) -> bytes:
+    def stutter(self, taker: Taker, arrival: Arrival) -> None:
+        """Perhaps answer a second time, late, whatever is under way on the connection by then."""
+        if taker.end is None or self.server_fleet.mischief(self, ("stutter",)) is None:
+            return
+        draw = self.server_fleet.draw
+        status = draw.choice((arrival.status or 200, 200, 500, 504))
+        pause = draw.choice(STUTTERED)
+        self.world.after(draw.uniform(0.0, pause), taker.end.write, self.stray(arrival, status))
+
+    def stray(self, arrival: Arrival, status: int = 200) -> bytes:
         """An extra answer to a request that has been answered."""
         body = b"stray;" * 20
-        return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: %b\r\nContent-Length: %d\r\n\r\n%b" % (
-            arrival.ident.encode(), b"stray." + arrival.seal.encode(), len(body), body,
-        )  # fmt: skip
+        head = b"HTTP/1.1 %d X\r\nX-Attempt-Id: %b\r\nX-Server-Seal: %b\r\nContent-Length: %d\r\n\r\n"
+        seal = b"stray." + arrival.seal.encode()
+        return head % (status, arrival.ident.encode(), seal, len(body)) + body
--- a/tests/lab/test_system.py
+++ b/tests/lab/test_system.py
@@ -326,3 +326,23 @@
     monkeypatch.setattr(voters, "LOST_LEAST", 15.0)
     shores = records.read(SHORES)
     assert any(hunt.one(shores, records.draw_losses(shores, seed)).findings for seed in range(4))
+
+
+@pytest.mark.parametrize("seed", [0, 1, 3])
+def test_no_answer_goes_to_another_request(seed: int) -> None:
+    """MIXED: few connections, many second attempts, servers that fail late and answer twice.
+
+    A failure that came for a request that was over was handed to the next one on its client's connection.
+    """
+    shores = records.read(SHORES)
+    busy = msgspec.structs.replace(
+        shores, clients=3, length=20.0, bounds=shores.bounds | {"retrySlack": 2000}
+    )
+    troubles = tuple(
+        Trouble(0.5, kind, lasts=19.0, count=4, x=x, how=how, where=service.name)
+        for service in shores.services
+        for kind, x, how in (("grey", 0.5, "sick"), ("lost_answers", 0.2, ""), ("stutter", 0.3, ""))
+    )
+    played = play(busy, Day(seed, troubles))
+    assert min(played.stats["answers.stray"], played.stats["answers.late"]) > 10
+    assert not rules.judge(played)
