Keep all that belongs to a client's request with the request, and not on its connection

Cause of MIXED: deliver() left a server's failure on the client's connection (client.spare), also for a request that a second attempt had answered; the next request there got it if it failed itself. Class: something late acts on what has taken the place of what it belonged to. Change: a failure stays with its flow and is kept only while that is open; ClientExchange is the flow's client, holds what belongs to one request, and is the only way to an answer: the connection takes it from the request under way alone, and an answer that is stamped for another request is withheld (502, answers.foreign). Two type: ignore go. Guard own-failure puts the fault back in the emulator.

--- a/latchspoke/core.py
+++ b/latchspoke/core.py
@@ -38,7 +38,8 @@
 
     def refused(self, retry_after: float | None) -> None: ...
 
-    def failed(self) -> None: ...
+    def failed(self, failure: object | None) -> None:
+        """Nobody has served it; ``failure`` is the last that a server answered this very request with."""
 
 
 class Ports(Protocol):
@@ -84,7 +85,8 @@
     """A request in hand; ``message`` is the ports' own and the core never looks into it."""
 
     __slots__ = (
-        "client", "closed", "coming", "epoch", "forwards", "message", "out", "request", "timer", "until",
+        "client", "closed", "coming", "epoch", "failure", "forwards", "message", "out", "request", "timer",
+        "until",
     )  # fmt: skip
 
     def __init__(self, request: api.Request, message: object, client: Client, now: float) -> None:
@@ -95,6 +97,7 @@
         self.out, self.closed = 0, False
         self.timer: Timer | None = None
         self.epoch: Epoch | None = None
+        self.failure: object | None = None  # a server's own, for the client if nothing better comes
 
     def due(self, now: float) -> float:
         left = self.request.left
@@ -201,6 +204,8 @@
             flow.client.served(answer)
             self.close(flow)
         else:
+            if code is api.Code.ERROR and answer is not None:
+                flow.failure = answer
             self.forget(flow)
         took = now - forward.sent_at
         request = flow.request.request
@@ -216,7 +221,7 @@
         if forward.ended:
             return
         if flow := self.final(forward.flow.request.request, "flows.failed"):
-            flow.client.failed()
+            flow.client.failed(flow.failure)
         self.ended(forward, api.Code.CANCELLED, now)
 
     def counted(self, name: int, code: api.Code, took: float, total: float, now: float) -> None:
@@ -255,7 +260,7 @@
                     flow.client.refused(pause)
             case api.Fail(request):
                 if flow := self.final(request, "flows.failed"):
-                    flow.client.failed()
+                    flow.client.failed(flow.failure)
             case api.AddCount(name, amount, life):
                 self.stats["counter.calls"] += 1
                 self.ports.count(name, amount, life)
@@ -319,7 +324,7 @@
             self.stats["flows.overdue"] += 1
             self.stats[f"errored.{flow.request.service}"] += 1
             self.close(flow)
-            flow.client.failed()
+            flow.client.failed(flow.failure)
             self.give(api.Withdrawn(flow.request.request), now)
 
     def final(self, request: str, name: str) -> Flow | None:
--- a/latchspoke/dataplane/back.py
+++ b/latchspoke/dataplane/back.py
@@ -206,8 +206,6 @@
         code, answer, report = done
         if forward.flow.closed:
             self.shared.stats["answers.late"] += 1
-        if code is api.Code.ERROR:
-            forward.flow.client.spare = answer  # type: ignore[attr-defined]
         self.upstream_pools.core.ended(forward, code, self.shared.clock.now(), answer, report)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/latchspoke/dataplane/front.py
+++ b/latchspoke/dataplane/front.py
@@ -12,12 +12,12 @@
 
 from barleyhub.line.dispatch import Call
 from latchspoke.configuration.routes import Limits, Route, Table
-from latchspoke.core import Epoch, Flow
-from latchspoke.dataplane.back import HOP, Answer, Request
+from latchspoke.core import Epoch
+from latchspoke.dataplane.back import HOP, Request
 from latchspoke.dataplane.core import LineCore
+from latchspoke.dataplane.exchange import ClientExchange, status_line
 from latchspoke.net.http import (
     GRACE,
-    REASONS,
     Connection,
     FramingError,
     ParserError,
@@ -25,7 +25,6 @@
     parse_error,
     read_decimal,
 )
-from latchspoke.transport.log import log
 
 if TYPE_CHECKING:
     from barleyhub.affinity.order import Caller
@@ -45,16 +44,9 @@
     b"expect",
 }
 SINGLE = frozenset((b"host", b"x-attempt-id", b"x-deadline-remaining", b"authorization", b"content-length"))
-STATUS = {status: f"HTTP/1.1 {status} {text}\r\n".encode() for status, text in REASONS.items()}
-TEXTS = {401: b"Unauthorized", 504: b"Gateway Timeout", 421: b"Misdirected Request"}
 SCHEME = b"token "
 
 
-def line(status: int) -> bytes:
-    known = STATUS.get(status)
-    return known if known is not None else b"HTTP/1.1 %d %b\r\n" % (status, TEXTS.get(status, b"Status"))
-
-
 class ClientConnection(Connection):
     """One client's connection: one request at a time."""
 
@@ -63,18 +55,20 @@
     def __init__(self, front: Front) -> None:
         super().__init__(front.shared)
         self.front = front
-        self.flow: Flow | None = None
-        self.spare: Answer | None = None  # a server's own error, given if nothing better comes
+        self.exchange: ClientExchange | None = None  # the request that is whole and not yet answered
         self.fault: FramingError | None = None
         self.ending = False
         self.keep = True
-        self.busy = False  # a request is whole and not yet answered
         self.since = self.opened_at  # when it began to wait for what it waits for
-        self.whole_at = 0.0  # when its request had come whole
         self.url = b""
         self.pairs: list[tuple[bytes, bytes]] = []
         self.parser = httptools.HttpRequestParser(self)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is whole and not yet answered."""
+        return self.exchange is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.front.joined(self)
@@ -107,7 +101,9 @@
         self.code = self.code or "bad_request"
         self.shared.stats[f"clients.{fault.status}"] += 1
         if fault.status:
-            self.transport.write(line(fault.status) + b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+            self.transport.write(
+                status_line(fault.status) + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            )
         self.transport.write_eof()
         clock = self.shared.clock
         clock.schedule(clock.now() + LINGER, lambda now: self.end("linger", flush=True))
@@ -155,70 +151,31 @@
         self.started = False
         self.messages += 1
         self.keep = self.parser.should_keep_alive()
-        self.busy = True
-        self.spare = None
-        self.whole_at = self.shared.clock.now()
-        self.front.request(self)
+        exchange = self.exchange = ClientExchange(
+            self, self.shared.stats, self.parser.get_method(), self.url, self.headers, self.pairs, self.body,
+            self.shared.clock.now(),
+        )  # fmt: skip
+        self.front.request(exchange)
 
-    # The core's answers.
+    # The answer.
 
     @property
     def closing(self) -> bool:
         return not self.keep or self.front.stopping or self.fault is not None
 
-    def served(self, answer: object) -> None:
-        assert isinstance(answer, Answer)
-        self.note_foreign(answer, "attempt")
-        self.write_answer(answer)
-
-    def refused(self, retry_after: float | None) -> None:
-        self.plain(429, retry_after)
-
-    def no_room(self, retry_after: float | None) -> None:
-        self.plain(503, retry_after)
-
-    def failed(self) -> None:
-        if self.spare is not None:
-            self.note_foreign(self.spare, "kept failure")
-            self.write_answer(self.spare)
-        else:
-            self.plain(502)
-
-    def note_foreign(self, answer: Answer, source: str) -> None:
-        """Tell of an answer that goes to a request it isn't stamped for, and where it came from."""
-        asked = self.headers.get(b"x-attempt-id", b"")
-        if answer.attempt != asked:
-            self.shared.stats["answers.foreign"] += 1
-            log(
-                "foreign-answer", source=source, status=answer.status, attempt=asked.decode("latin-1"),
-                stamped=answer.attempt.decode("latin-1"),
-            )  # fmt: skip
-
-    def plain(self, status: int, retry_after: float | None = None, more: bytes = b"") -> None:
-        """An answer of this system's own; ``more``: header lines."""
-        self.shared.stats[f"answers.{status}"] += 1
-        pause = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
-        end = b"Connection: close\r\n" if self.closing else b""
-        self.write(b"%b%b%b%bContent-Length: 0\r\n\r\n" % (line(status), pause, more, end))
-
-    def write_answer(self, answer: Answer) -> None:
-        head = [line(answer.status)]
-        head += [b"%b: %b\r\n" % pair for pair in answer.headers]
-        if self.closing:
-            head.append(b"Connection: close\r\n")
-        if answer.status not in (204, 304):
-            head.append(b"Content-Length: %d\r\n" % len(answer.body))
-        head.append(b"\r\n")
-        head.append(answer.body)
-        self.write(b"".join(head))
-
-    def write(self, data: bytes) -> None:
-        self.flow = None
-        self.busy = False
+    def answer(self, exchange: ClientExchange, data: bytes) -> bool:
+        """Write the answer to the request that is under way, and to no other one."""
+        if exchange is not self.exchange:
+            return False
+        self.exchange = None
         self.since = self.shared.clock.now()
-        if self.transport is None or self.lost or self.transport.is_closing():
-            return
-        self.transport.write(data)
+        if self.transport is not None and not self.lost and not self.transport.is_closing():
+            self.transport.write(data)
+            self.go_on()
+        return True
+
+    def go_on(self) -> None:
+        """After an answer: wait for the next request, or end."""
         if self.fault is not None:
             if self.fault.status:
                 self.answer_fault()
@@ -232,10 +189,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self.front.clients.pop(self, None)
-        self.front.held.pop(self, None)
-        flow, self.flow = self.flow, None
-        if flow is not None:
-            self.front.core.withdrawn(flow, self.shared.clock.now())
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.front.withdrawn(exchange)
 
 
 class Front:
@@ -251,7 +207,7 @@
         self.limits = Limits()
         self.proven: Callable[[], bool] = lambda: True  # the operator's word as known here, in this life
         self.recent: Callable[[], bool] = lambda: True  # whether it was proven so lately that it may deny
-        self.held: dict[ClientConnection, None] = {}  # their requests wait for the operator's word
+        self.held: dict[ClientExchange, None] = {}  # requests that wait for the operator's word
         self.stopping = False
         self.number = itertools.count(1)
         self.most = int(shared.sockets.most * 0.6)
@@ -265,20 +221,20 @@
                     return
             client.end("sockets")
 
-    def request(self, client: ClientConnection) -> None:
+    def request(self, exchange: ClientExchange) -> None:
         """A request has come whole."""
-        table, headers = self.table, client.headers
+        table, headers = self.table, exchange.headers
         if table is None or not self.proven():
             # What came first may be old: nothing is done by it before it has been proven once.
-            self.hold(client)
+            self.hold(exchange)
             return
         ident, host = headers.get(b"x-attempt-id"), headers.get(b"host")
         if not ident or host is None:
-            self.turn_away(client, 400, "no_ident_or_host")
+            self.turn_away(exchange, 400, "no_ident_or_host")
             return
-        route = table.find(host.decode("latin-1"), client.url.partition(b"?")[0].decode("latin-1"))
+        route = table.find(host.decode("latin-1"), exchange.url.partition(b"?")[0].decode("latin-1"))
         if route is None:
-            self.deny(client, 404, "no_route")
+            self.deny(exchange, 404, "no_route")
             return
         tenant, epoch = None, None
         if table.keyed and not route.open:
@@ -286,92 +242,97 @@
             if epoch is None:
                 # Keys may have been taken away meanwhile: nothing is done with one until that is known.
                 self.shared.stats["refused.no_right"] += 1
-                self.turn_away(client, 503, "no_right", route.name, NO_RIGHT)
+                self.turn_away(exchange, 503, "no_right", route.name, NO_RIGHT)
                 return
             key = headers.get(b"authorization", b"")
             if key[: len(SCHEME)].lower() == SCHEME:
                 tenant = table.tenant(key[len(SCHEME) :].strip().decode("latin-1"))
             if tenant is None:
-                self.deny(client, 401, "no_key", route.name)
+                self.deny(exchange, 401, "no_key", route.name)
                 return
         caller, service = None, ""
         if route.affinity is not None:
-            caller, service = self.caller(client, route, tenant.name if tenant else "")
+            caller, service = self.caller(exchange, route, tenant.name if tenant else "")
         left = read_decimal(headers.get(b"x-deadline-remaining", b""))
         now = self.shared.clock.now()
         left = min(left / 1000 if left is not None else DEADLINE_MOST, route.timeout) - (
-            now - client.whole_at
+            now - exchange.whole_at
         )
         if left <= 0:
-            self.turn_away(client, 503, "too_late", route.name)
+            self.turn_away(exchange, 503, "too_late", route.name)
             return
         call = Call(
             f"{next(self.number)}", tenant.name if tenant else "",
             service or route.service(self.draw.random()), route.name, 1.0, left, 1,
             route=route, tenant=tenant, caller=caller,
         )  # fmt: skip
-        message = self.message(client, ident, tenant.name.encode() if tenant else b"")
-        client.flow = self.core.arrived(call, message, client, now)
-        client.flow.epoch = epoch
-        self.core.begin(client.flow, now)
+        message = self.message(exchange, ident, tenant.name.encode() if tenant else b"")
+        exchange.flow = self.core.arrived(call, message, exchange, now)
+        exchange.flow.epoch = epoch
+        self.core.begin(exchange.flow, now)
 
-    def deny(self, client: ClientConnection, status: int, why: str, route: str = "") -> None:
+    def deny(self, exchange: ClientExchange, status: int, why: str, route: str = "") -> None:
         """What the operator's word lacks is denied only while that word is surely not out of date here."""
         if self.recent():
-            self.turn_away(client, status, why, route)
+            self.turn_away(exchange, status, why, route)
             return
         self.shared.stats["refused.no_right"] += 1
-        self.turn_away(client, 503, "no_right", route, NO_RIGHT)
+        self.turn_away(exchange, 503, "no_right", route, NO_RIGHT)
 
-    def hold(self, client: ClientConnection) -> None:
+    def hold(self, exchange: ClientExchange) -> None:
         """A process that has begun a moment ago will know soon; who is sent away comes back after that."""
         clock = self.shared.clock
         if len(self.held) >= HELD_MOST:
-            self.turn_away(client, 503, "no_configuration", pause=NOT_READY)
+            self.turn_away(exchange, 503, "no_configuration", pause=NOT_READY)
             return
-        self.held[client] = None
-        whole_at = client.whole_at
+        self.held[exchange] = None
 
         def give_up(now: float) -> None:
-            if client in self.held and client.whole_at == whole_at:
-                del self.held[client]
-                self.turn_away(client, 503, "no_configuration", pause=NOT_READY)
+            if exchange in self.held:
+                del self.held[exchange]
+                self.turn_away(exchange, 503, "no_configuration", pause=NOT_READY)
 
         clock.schedule(clock.now() + HOLD, give_up)
 
     def resume(self) -> None:
         """The operator's word is known, and proven: those who wait for it go on."""
         held, self.held = self.held, {}
-        for client in held:
-            self.request(client)
+        for exchange in held:
+            self.request(exchange)
+
+    def withdrawn(self, exchange: ClientExchange) -> None:
+        """Its client has left."""
+        self.held.pop(exchange, None)
+        flow, exchange.flow = exchange.flow, None
+        if flow is not None:
+            self.core.withdrawn(flow, self.shared.clock.now())
 
     def turn_away(
-        self, client: ClientConnection, status: int, reason: str, route: str = "", pause: float | None = None
+        self, exchange: ClientExchange, status: int, reason: str, route: str = "", pause: float | None = None
     ) -> None:
         """Before any decision; ``reason`` is for people."""
         self.core.dispatcher.refusals.append((self.shared.clock.now(), reason, route, ""))
-        client.plain(status, pause)
+        exchange.plain(status, pause)
 
-    def caller(self, client: ClientConnection, route: Route, tenant: str) -> tuple[Caller | None, str]:
+    def caller(self, exchange: ClientExchange, route: Route, tenant: str) -> tuple[Caller | None, str]:
         """Whose request it is, where its route keeps callers, and the service that it goes to then."""
         from barleyhub.affinity.order import Caller, key_of, service_of
 
         affinity = route.affinity
         assert affinity is not None
-        text = affinity.caller(client.headers, client.url, tenant)
+        text = affinity.caller(exchange.headers, exchange.url, tenant)
         if text is None:
             return None, ""
         key = key_of(text)
         return Caller(key, affinity.near, affinity.exchange), service_of(key, route.split)
 
-    def message(self, client: ClientConnection, ident: bytes, tenant: bytes) -> Request:
+    def message(self, exchange: ClientExchange, ident: bytes, tenant: bytes) -> Request:
         """Method, path, body and headers are as they came, but for what concerns one connection."""
-        named = client.headers.get(b"connection", b"").lower()
+        named = exchange.headers.get(b"connection", b"").lower()
         dropped = REPLACED | {token.strip() for token in named.split(b",")} if named else REPLACED
-        method: bytes = client.parser.get_method()
-        head = [b"%b %b HTTP/1.1\r\n" % (method, client.url)]
-        head += [b"%b: %b\r\n" % pair for pair in client.pairs if pair[0].lower() not in dropped]
-        return Request(method, ident, b"".join(head), tenant, client.body)
+        head = [b"%b %b HTTP/1.1\r\n" % (exchange.method, exchange.url)]
+        head += [b"%b: %b\r\n" % pair for pair in exchange.pairs if pair[0].lower() not in dropped]
+        return Request(exchange.method, ident, b"".join(head), tenant, exchange.body)
 
     def sweep(self, now: float) -> None:
         """A client that asks nothing, or never all of it, must not hold its connection for good."""
--- a/latchspoke/dataplane/travel.py
+++ b/latchspoke/dataplane/travel.py
@@ -22,6 +22,7 @@
 from latchspoke.configuration.routes import Affinity, Route, Travels
 from latchspoke.core import Epoch, Flow, Forward, Timer
 from latchspoke.dataplane.back import Answer, Request
+from latchspoke.dataplane.exchange import ClientExchange
 from latchspoke.membership.words import Member
 from latchspoke.session_records.bill import Bill, Fate, Peer, key_of
 from latchspoke.session_records.desk import Ask, Desk, Go, Later, Pass, Step, Tell, Terms
@@ -78,8 +79,6 @@
 class Asker:
     """The client of a question to a server."""
 
-    spare: Answer | None = None
-
     def __init__(self, told: Callable[[State], None]) -> None:
         self.told = told
 
@@ -91,7 +90,7 @@
     def refused(self, retry_after: float | None) -> None:
         self.told(State.UNKNOWN)
 
-    def failed(self) -> None:
+    def failed(self, failure: object | None) -> None:
         self.told(State.UNKNOWN)
 
 
@@ -280,7 +279,8 @@
         flow = self.core.final(trip.call.request, "flows.refused")
         if flow is not None:
             more = f"X-Exchange-State: {state.value}\r\nX-Exchange: {exchange}\r\n".encode("latin-1")
-            flow.client.plain(409, None, more)  # type: ignore[attr-defined]
+            assert isinstance(flow.client, ClientExchange)
+            flow.client.plain(409, None, more)
             log("exchange-told", state=state.value, route=trip.call.route.name if trip.call.route else "")
 
     def ended(self, outcome: api.Outcome, now: float) -> None:
--- a/latchspoke/lab/schedules/gate.py
+++ b/latchspoke/lab/schedules/gate.py
@@ -48,7 +48,7 @@
     def refused(self, retry_after: float | None) -> None:
         self.note("refused")
 
-    def failed(self) -> None:
+    def failed(self, failure: object | None) -> None:
         self.note("failed")
 
 
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -12,13 +12,15 @@
 
 import msgspec
 
+from barleyhub.interface import Code
 from barleyhub.line import budget, dispatch, quota, stock
 from latchspoke.agent.ledger import LedgerError
 from latchspoke.configstore.orders import Orders
 from latchspoke.configuration.routes import Route
 from latchspoke.controlplane import node as controlplane
-from latchspoke.dataplane import back, feed, front, relay, travel
+from latchspoke.dataplane import back, exchange, feed, front, relay, travel
 from latchspoke.dataplane import node as dataplane
+from latchspoke.dataplane.core import LineCore
 from latchspoke.distribution.board import Lease
 from latchspoke.lab.system.machines import Fleet, SimLedger
 from latchspoke.lab.system.records import Callers, Trouble
@@ -207,6 +209,35 @@
     return service
 
 
+def refuses(self: Any, failure: object) -> None:
+    self.plain(503, 0.1)
+
+
+def leaves_failures(old: Any) -> Any:
+    """A failure stays on its client's connection, whatever request is under way there by then."""
+
+    def ended(self: Any, forward: Any, code: Any, now: float, answer: Any = None, report: Any = None) -> None:
+        bearer = getattr(forward.flow.client, "bearer", None)
+        if bearer is not None and answer is not None and code is Code.ERROR:
+            bearer.left = answer
+        old(self, forward, code, now, answer, report)
+
+    return ended
+
+
+def hands_on_what_is_left(old: Any) -> Any:
+    def failed(self: Any, failure: object) -> None:
+        left = getattr(self.bearer, "left", None)
+        if left is None:
+            old(self, failure)
+            return
+        self.bearer.left = None
+        self.attempt = left.attempt  # the last look at whose answer it is is taken out as well
+        old(self, left)
+
+    return failed
+
+
 CHANGES = (t(1.0, "storm", how="move", lasts=4.0, x=0.8),)
 LOSSES = (t(0.5, "lost_answers", how="", x=0.5, lasts=12.0),)
 GUARDS: dict[str, Guard] = {
@@ -247,9 +278,17 @@
         callers=Callers(20, 0.3),
     ),
     "promise": Guard(
-        "REFUSED", LOSSES, lambda: [on(front.ClientConnection, "failed", lambda self: self.plain(503, 0.1))]
+        "REFUSED", LOSSES, lambda: [on(exchange.ClientExchange, "failed", refuses)]
+    ),
+    "whole-answer": Guard("MIXED", (), lambda: [around(exchange.ClientExchange, "write_answer", spoilt)]),
+    "own-failure": Guard(
+        "MIXED",
+        tuple(t(0.5, kind, lasts=9.0, count=4, x=x, how=how, where=where)
+              for where in ("meters", "orders")
+              for kind, x, how in (("grey", 0.5, "sick"), ("lost_answers", 0.3, ""))),
+        lambda: [around(LineCore, "ended", leaves_failures),
+                 around(exchange.ClientExchange, "failed", hands_on_what_is_left)],
     ),
-    "whole-answer": Guard("MIXED", (), lambda: [around(front.ClientConnection, "write_answer", spoilt)]),
     "homes": Guard("HOME", (), lambda: [on(dispatch, "homes_of", lambda route, tenant: None)]),
     "route": Guard("ROUTE", (), lambda: [around(Route, "service", elsewhere)]),
     "hidden-key": Guard(
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -417,7 +417,7 @@
         pause = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
         self.write(response(429, b"", pause, self.closing))
 
-    def failed(self) -> None:
+    def failed(self, failure: object | None) -> None:
         self.write(response(502, close=self.closing))
 
     def write(self, data: bytes) -> None:
