--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -38,6 +38,7 @@
 from latchspoke.registry.registry import BeatError, Entry, State, read_beat
 from latchspoke.transport.door import PRESENT, Answer, Caller, Door
 from latchspoke.transport.log import log
+from latchspoke.transport.questions import first_number
 from latchspoke.transport.wire import Message, Wire
 
 SWEEP = 0.25  # s
@@ -106,7 +107,7 @@
         self.to_peers = ServerNews(self.clock, self.tell_peers)
         self.beaten: dict[str, Entry] = {}  # heard here since the last word to the others
         self.copies: dict[int, Copies] = {}
-        self.number = 0
+        self.number = first_number(self.life)
         self.asking: list[tuple[Wire, int, float]] = []  # gateways that wait for a proof, and since when
         self.proving = False
         self.together_at = self.begun_at = self.clock.now()
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -64,15 +64,16 @@
 class Box:
     """A control machine, and gateways and others on wires that are only lists."""
 
-    def __init__(self, home: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def __init__(self, home: Path, monkeypatch: pytest.MonkeyPatch, seed: int = 1) -> None:
         monkeypatch.setattr(node, "Replica", Replica)
         self.loop = VirtualLoop(Network(1))
         made = settings(dataDirectory=str(home), seedNodes=["10.1.0.11:8200"])
-        self.node = node.Node(made, self.loop, "", VirtualClock(self.loop), Random(1))
+        self.node = node.Node(made, self.loop, "", VirtualClock(self.loop), Random(seed))
         self.replica = cast(Replica, self.node.replica)
         self.peers: list[dict[str, Any]] = []
         monkeypatch.setattr(self.node.peers, "all", self.tell_peers)
         self.second = True
+        self.answers_to: int | None = None  # another number than the one asked for
         self.hear = [f"10.{n}.0.11:7601" for n in (2, 3, 4)]  # who answers of the others
 
     def tell_peers(self, message: dict[str, Any]) -> list[str]:
@@ -80,9 +81,8 @@
         hear = self.hear if self.second else []
         for name in hear if "n" in message else ():
             wire = SimpleNamespace(tag=name)
-            self.loop.call_later(
-                0.02, self.node.peer_answers, cast(Any, wire), {"k": "got", "n": message["n"]}
-            )
+            number = message["n"] if self.answers_to is None else self.answers_to
+            self.loop.call_later(0.02, self.node.peer_answers, cast(Any, wire), {"k": "got", "n": number})
         return hear
 
     def wire(self) -> Any:
@@ -374,3 +374,23 @@
     assert len(set(locate(many, (), "a", "r", Random(1)))) == 64
     assert read_call("POST", "/rpc?call=evacuation.begin&of=a%2Db").of == "a-b"
     assert read_call("GET", "/rpc?call=evacuation.begin").name == "GET /rpc"
+
+
+def test_a_word_to_the_former_life_of_a_control_machine_counts_for_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """DRAIN: it may come late, by way of a gateway, to a life whose own word no majority has heard."""
+    statuses = []
+    late = None
+    for life in (1, 2):
+        home = tmp_path / str(life)
+        home.mkdir()
+        box = Box(home, monkeypatch, life)
+        box.answers_to = late
+        beat = {"service": "a", "address": "10.9.0.1:80", "zone": "waw-a", "capacitySlots": 4}
+        box.call("instances.heartbeat", beat | {"state": "available", "callSequence": 1}, "s1")
+        leaves = beat | {"state": "draining", "callSequence": 2}
+        statuses.append(box.call("instances.heartbeat", leaves, "s1")[0])
+        late = next(told["n"] for told in reversed(box.peers) if "n" in told)
+        box.loop.close()
+    assert statuses == [200, 503]
