Open one connection for all that a gateway relays to a control machine at once

Change: what waits for a connection is kept by target from the first message on, and goes out once it is up.

--- a/latchspoke/dataplane/relay.py
+++ b/latchspoke/dataplane/relay.py
@@ -14,7 +14,8 @@
 DIAL = 0.4  # s
 RESTED = 5.0  # s without use, after which a connection is closed
 REFUSED = 1.0  # s after a failed connection in which what is for that machine is dropped
-MOST = 32  # connections
+MOST = 32  # connections that are being opened
+WAITING_MOST = 32  # messages for one of them
 
 
 class Relay:
@@ -26,6 +27,7 @@
         self.wires: dict[str, Wire] = {}
         self.used: dict[str, float] = {}
         self.failed: dict[str, float] = {}
+        self.opening: dict[str, list[Message]] = {}  # what waits for a connection that is being opened
         self.tasks: set[asyncio.Task[None]] = set()
 
     def heard(self, wire: Wire, message: Message) -> None:
@@ -40,13 +42,17 @@
         there = self.wires.get(target)
         if there is not None and not there.over:
             there.send(told)
-        elif now - self.failed.get(target, -REFUSED) >= REFUSED and len(self.tasks) < MOST:
-            task = asyncio.get_running_loop().create_task(self.open(target, told))
+        elif target in self.opening:
+            if len(self.opening[target]) < WAITING_MOST:
+                self.opening[target].append(told)
+        elif now - self.failed.get(target, -REFUSED) >= REFUSED and len(self.opening) < MOST:
+            self.opening[target] = [told]
+            task = asyncio.get_running_loop().create_task(self.open(target))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def open(self, target: str, first: Message) -> None:
-        """Connect, and forward the message for which that was needed."""
+    async def open(self, target: str) -> None:
+        """Connect, and forward what has come for that machine meanwhile."""
 
         def ended(wire: Wire, reason: str) -> None:
             if self.wires.get(target) is wire:
@@ -54,16 +60,20 @@
 
         host, _, port = target.rpartition(":")
         wire = Wire(self.heard, ended)
-        self.failed[target] = self.clock.now()  # until it is up, no other is opened
-        if not await dial(wire, host, int(port), DIAL):
-            return
-        del self.failed[target]
-        if (old := self.wires.get(target)) is not None and not old.over:
-            old.send(first)
+        up = await dial(wire, host, int(port), DIAL)
+        waiting = self.opening.pop(target)
+        there = self.wires.get(target)
+        if there is not None and not there.over:  # it has connected here meanwhile
             wire.end("another one is open")
+            wire = there
+        elif up:
+            self.failed.pop(target, None)
+            self.wires[target] = wire
+        else:
+            self.failed[target] = self.clock.now()
             return
-        self.wires[target] = wire
-        wire.send(first)
+        for message in waiting:
+            wire.send(message)
 
     def sweep(self, now: float) -> None:
         """Close what has rested; connections that others own are only forgotten."""
