Soak the real programs on loopback under signals and changes that overlap

Cause: no run had real processes, clients that keep their connections until the process is gone, servers that answer twice, and signals, restarts and changes in overlapping series. Change: python -m latchspoke.lab.soak, seeded; judged by MIXED, TWICE, REFUSED, UNASKED, LOST, FAULT and by what the logs say.

--- /dev/null
+++ b/latchspoke/lab/soak/__main__.py
@@ -0,0 +1,52 @@
+"""``python -m latchspoke.lab.soak``: the real programs on loopback for some seconds, for one seed or several.
+
+Exit codes: 0 nothing found, 1 something was, 2 a run that didn't come up or wrong usage.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import cyclopts
+
+from latchspoke.lab.soak.run import NotUpError, Plan, play
+
+app = cyclopts.App(name="soak", help=__doc__)
+SHOWN = 8  # findings of a run that are printed
+
+
+@app.default
+def soak(
+    *, seed: int = 1, seeds: int = 1, seconds: float = 15.0, gateways: int = 4, control: int = 3,
+    clients: int = 24, series: int = 3, keep: str = "",
+) -> int:  # fmt: skip
+    """Play so many seeds from --seed on; --keep FOLDER keeps all logs, else those of findings stay."""
+    bad = 0
+    for number in range(seed, seed + seeds):
+        plan = Plan(number, seconds, gateways, control, clients, series=series)
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None))
+        net = random.SystemRandom().randrange(130, 250)
+        try:
+            found, counts = play(plan, folder, net)
+        except NotUpError as e:
+            print(f"seed {number}: {e}; logs in {folder}", file=sys.stderr)
+            return 2
+        print(f"seed {number}: {len(found)} findings, {json.dumps(counts)}", flush=True)
+        for finding in found[:SHOWN]:
+            print(f"    {finding}", flush=True)
+        if found:
+            bad += 1
+            print(f"    logs in {folder}", flush=True)
+        elif not keep:
+            shutil.rmtree(folder, ignore_errors=True)
+    print(f"{seeds} runs, {bad} with findings")
+    return int(bad > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(int(app(result_action="return_value") or 0))
--- /dev/null
+++ b/latchspoke/lab/soak/fleet.py
@@ -0,0 +1,209 @@
+"""The system's processes in a soak run, each with a loopback address of its own, and the signals they get."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from latchspoke.lab.soak.parties import Address, call
+from latchspoke.lab.soak.record import Life, Record
+
+ROOT = Path(__file__).parents[3]
+CONTROL, READINESS, FRONT, LOCATOR = 8200, 8201, 8206, 8209  # ports
+GRACE = 3.0  # s
+STARTS = 1.0  # s at least until a process listens
+INTERPRETER = 0.15  # s until its first line runs
+ZONES = {"left-bank": "west", "right-bank": "east"}
+BOUNDS = [
+    "contactS=4", "ackS=6", "drainS=3", f"graceS={GRACE:g}", "configApplyS=3", "revocationEnforced=true",
+    "revokeS=5", "retryRatio=1", "retryWindowS=10", "retrySlack=5000", "quotaWindowS=5", "coldExcess=1.5",
+    "coldSlack=5", "evacuationS=5", "ttl_max_s=5", "catchUpS=4",
+]  # fmt: skip
+
+
+@dataclass(eq=False)
+class Machine:
+    """A process of the system; ``stops`` while it is ended on purpose."""
+
+    name: str
+    program: str
+    zone: str
+    ip: str
+    process: asyncio.subprocess.Process | None = None
+    stops: bool = False
+
+
+class Fleet:
+    """All machines of a run."""
+
+    def __init__(self, folder: Path, record: Record, net: int, gateways: int, control: int) -> None:
+        """``net``: the second part of all loopback addresses, so that two runs don't meet."""
+        self.folder, self.record, self.net = folder, record, net
+        self.core = [self.machine("controlplane", number) for number in range(control)]
+        self.edges = [self.machine("dataplane", number) for number in range(gateways)]
+        self.watching: set[asyncio.Task[None]] = set()
+
+    def machine(self, program: str, number: int) -> Machine:
+        """Machines alternate between the zones."""
+        zone = list(ZONES)[number % len(ZONES)]
+        kind = 1 if program == "controlplane" else 2
+        ip = f"127.{self.net}.{kind}.{number + 1}"
+        return Machine(f"{program}-{number}", program, zone, ip)
+
+    @property
+    def control(self) -> list[Address]:
+        """Where calls of servers and the operator go."""
+        return [(machine.ip, CONTROL) for machine in self.core]
+
+    def fronts(self) -> list[Address]:
+        """Gateways that clients may connect to: those that are not ended on purpose."""
+        up = [(machine.ip, FRONT) for machine in self.edges if not machine.stops]
+        return up or [(machine.ip, FRONT) for machine in self.edges]
+
+    def settings(self, machine: Machine, first: bool) -> Path:
+        """Its settings file, written; ``first``: the whole system starts for the first time."""
+        control = machine.program == "controlplane"
+        home = self.folder / machine.name
+        home.mkdir(parents=True, exist_ok=True)
+        listen = (
+            {"controlPlane": CONTROL, "directoryService": LOCATOR}
+            if control
+            else {"frontPlain": FRONT, "readiness": READINESS}
+        )
+        fields = {
+            "nodeName": machine.name, "role": machine.program, "machineClass": "core" if control else "edge",
+            "servedRoles": ["control", "locator"] if control else ["edge"], "ipAddress": machine.ip,
+            "zone": machine.zone, "region": ZONES[machine.zone], "zones": ZONES,
+            "listenAddresses": {name: f"{machine.ip}:{port}" for name, port in listen.items()},
+            "internalPortRange": [7600, 7615], "seedNodes": [f"{m.ip}:{CONTROL}" for m in self.core[:3]],
+            "initialStart": first, "lossCounted": control,
+            "limits": {"cpuFraction": 1.0, "memoryMb": 300, "fileDescriptors": 900},
+            "dataDirectory": str(home) if control else None, "heartbeatS": 1.0, "contractSet": ["base"],
+            "faultTolerance": {"machineLosses": 1, "zones": 0, "regionLosses": 0}, "bounds": BOUNDS,
+        }  # fmt: skip
+        path = home / "local.yaml"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(fields))  # JSON is YAML
+        new.replace(path)
+        return path
+
+    async def start(self, machine: Machine, first: bool = False) -> None:
+        """Begin a process there."""
+        path = self.settings(machine, first)
+        with (self.folder / f"{machine.name}.log").open("ab") as log:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", f"latchspoke.{machine.program}", cwd=ROOT, stdout=log, stderr=log,
+                env=os.environ | {"LATCHSPOKE_NODE_FILE": str(path)}, start_new_session=True,
+            )  # fmt: skip
+        machine.stops = False
+        life = Life(time.monotonic())
+        self.record.lives[machine.ip].append(life)
+        task = asyncio.create_task(self.watch(machine, machine.process, life))
+        self.watching.add(task)
+        task.add_done_callback(self.watching.discard)
+
+    async def watch(self, machine: Machine, process: asyncio.subprocess.Process, life: Life) -> None:
+        """A process that ends though nobody ended it is a fault, and so is an end with a failure."""
+        code = await process.wait()
+        life.ended = time.monotonic()
+        asked = min(life.term_at, life.killed_at) <= life.ended
+        # Before it listens, SIGTERM may end it at once; before the interpreter runs, so does SIGHUP.
+        age = life.ended - life.begun
+        young = (code == -signal.SIGTERM and life.term_at < life.begun + STARTS) or (
+            code == -signal.SIGHUP and age < INTERPRETER
+        )
+        if young:
+            self.record.done["ended before it served"] += 1
+        elif not asked or (code and life.killed_at > life.ended):
+            self.record.faults.append((life.ended, f"{machine.name} ended with {code}, {age:.2f} s old"))
+
+    async def start_all(self) -> None:
+        """The first start."""
+        for machine in [*self.core, *self.edges]:
+            await self.start(machine, True)
+
+    async def ready(self, within: float) -> bool:
+        """Whether all gateways are, in time (s)."""
+        until = time.monotonic() + within
+        waiting = list(self.edges)
+        while waiting and time.monotonic() < until:
+            for machine in waiting[:]:
+                status, _ = await call((machine.ip, READINESS), "GET", "/readiness")
+                if status == 200:
+                    waiting.remove(machine)
+            await asyncio.sleep(0.1)
+        return not waiting
+
+    def signal(self, machine: Machine, number: signal.Signals) -> None:
+        """To the process there, if one runs."""
+        if machine.process is not None and machine.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                machine.process.send_signal(number)
+
+    async def restart(self, machine: Machine, pause: float) -> None:
+        """SIGTERM, SIGKILL after the grace, and another start ``pause`` s later."""
+        if machine.stops or machine.process is None:
+            return
+        machine.stops = True
+        life = self.record.lives[machine.ip][-1]
+        life.term_at = time.monotonic()
+        self.signal(machine, signal.SIGTERM)
+        await self.ended(machine, life, GRACE)
+        await asyncio.sleep(pause)
+        await self.start(machine)
+
+    async def kill(self, machine: Machine, pause: float) -> None:
+        """SIGKILL, and another start ``pause`` s later."""
+        if machine.stops or machine.process is None:
+            return
+        machine.stops = True
+        life = self.record.lives[machine.ip][-1]
+        now = life.killed_at = time.monotonic()
+        self.record.troubles[machine.ip].append((now, now + pause))
+        self.signal(machine, signal.SIGKILL)
+        await machine.process.wait()
+        await asyncio.sleep(pause)
+        await self.start(machine)
+
+    async def ended(self, machine: Machine, life: Life, within: float) -> None:
+        """Wait for its end; SIGKILL if it doesn't come in time (s)."""
+        assert machine.process is not None
+        try:
+            async with asyncio.timeout(within):
+                await machine.process.wait()
+        except TimeoutError:
+            life.killed_at = time.monotonic()
+            self.signal(machine, signal.SIGKILL)
+            await machine.process.wait()
+
+    async def freeze(self, machine: Machine, lasts: float) -> None:
+        """SIGSTOP, and SIGCONT after so long (s)."""
+        if machine.stops:
+            return
+        now = time.monotonic()
+        self.record.troubles[machine.ip].append((now, now + lasts))
+        self.signal(machine, signal.SIGSTOP)
+        await asyncio.sleep(lasts)
+        self.signal(machine, signal.SIGCONT)
+
+    async def stop_all(self) -> None:
+        """The end of the run: gateways first."""
+        for those in (self.edges, self.core):
+            for machine in those:
+                machine.stops = True
+                lives = self.record.lives[machine.ip]
+                if lives and lives[-1].ended > time.monotonic():
+                    lives[-1].term_at = min(lives[-1].term_at, time.monotonic())
+                self.signal(machine, signal.SIGCONT)
+                self.signal(machine, signal.SIGTERM)
+            for machine in those:
+                if machine.process is not None:
+                    await self.ended(machine, self.record.lives[machine.ip][-1], GRACE + 2.0)
+        await asyncio.gather(*self.watching)
--- /dev/null
+++ b/latchspoke/lab/soak/record.py
@@ -0,0 +1,154 @@
+"""What clients and servers of a soak run saw, and the rules it is judged by. Times in s, monotonic."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import Any
+
+PROMISES = frozenset((429, 503, 408, 421))  # statuses that say: it has not run and will not
+CONTACT = 4.0  # s after an unplanned trouble of a gateway in which connections may still be cut by it
+LATE_PART = 5 / 6  # of the grace; who is still at work after that may be cut
+UNASKED_ANSWER = "an answer that nobody asked for"
+
+
+@dataclass(slots=True, eq=False)
+class Sent:
+    """A request as a client sent it, and what came back."""
+
+    attempt: str
+    method: str
+    path: str
+    body: bytes
+    gateway: str  # its address
+    at: float
+    deadline: float
+    status: int = 0  # 0: none came
+    stamped: str = ""
+    seal: str = ""
+    answer: bytes = b""
+    ended: float = math.inf
+    gave_up: bool = False  # the client closed its connection
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.method == "GET"
+
+
+@dataclass(slots=True, eq=False)
+class Arrival:
+    """A request at a server, and the answer that was meant for it."""
+
+    attempt: str
+    method: str
+    path: str
+    body: bytes
+    server: str
+    at: float
+    ran: bool = False
+    status: int = 0
+    seal: str = ""
+    answer: bytes = b""
+    broken: bool = False  # the server broke the connection off
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a gateway."""
+
+    begun: float
+    term_at: float = math.inf
+    killed_at: float = math.inf
+    ended: float = math.inf
+
+
+@dataclass(slots=True, frozen=True)
+class Finding:
+    """One breach of a rule."""
+
+    rule: str
+    at: float
+    what: str
+    attempt: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.at:8.3f} s {self.rule}: {self.what}" + (f" [{self.attempt}]" if self.attempt else "")
+
+
+@dataclass
+class Record:
+    """A whole run."""
+
+    begun: float
+    grace: float
+    sent: dict[str, Sent] = field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = field(default_factory=lambda: defaultdict(list))
+    lives: dict[str, list[Life]] = field(default_factory=lambda: defaultdict(list))  # by gateway's address
+    troubles: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
+    unasked: list[tuple[float, str, bytes]] = field(default_factory=list)
+    faults: list[tuple[float, str]] = field(default_factory=list)  # processes that ended by themselves
+    done: Counter[str] = field(default_factory=Counter)  # operations, by kind
+    extra: int = 0  # second answers that servers gave
+
+    def findings(self) -> list[Finding]:
+        """All breaches, by time."""
+        found = [
+            Finding("MIXED", at - self.begun, f"{UNASKED_ANSWER}, from {who}: {data[:60]!r}")
+            for at, who, data in self.unasked
+        ]
+        found += [Finding("FAULT", at - self.begun, what) for at, what in self.faults]
+        for sent in self.sent.values():
+            found += [
+                Finding(rule, min(sent.ended, sent.at + 60) - self.begun, what, sent.attempt)
+                for rule, what in self.judge(sent)
+            ]
+        for attempt in self.arrivals.keys() - self.sent.keys():
+            at = self.arrivals[attempt][0].at
+            found.append(Finding("UNASKED", at - self.begun, "a run that no client asked for", attempt))
+        return sorted(found, key=lambda finding: finding.at)
+
+    def judge(self, sent: Sent) -> list[tuple[str, str]]:
+        """What is wrong with one request: rule and words."""
+        arrivals = self.arrivals.get(sent.attempt, [])
+        runs = [arrival for arrival in arrivals if arrival.ran]
+        wrong = []
+        if sent.stamped and sent.stamped != sent.attempt:
+            wrong.append(("MIXED", f"{sent.status}, the answer to {sent.stamped}"))
+        elif sent.seal or 200 <= sent.status < 300:
+            same = (sent.seal, sent.status, sent.answer)
+            if not sent.seal or not any((a.seal, a.status, a.answer) == same for a in arrivals):
+                wrong.append(("MIXED", f"{sent.status}, as no server gave it"))
+        asked = (sent.method, sent.path, sent.body)
+        if any((a.method, a.path, a.body) != asked for a in arrivals):
+            wrong.append(("UNASKED", "it came to a server as another request"))
+        if not sent.repeatable and len(runs) > 1:
+            wrong.append(("TWICE", f"run at {', '.join(run.server for run in runs)}"))
+        if not sent.repeatable and sent.status in PROMISES and runs:
+            wrong.append(("REFUSED", f"answered {sent.status}, and has run"))
+        if self.lost(sent, arrivals):
+            wrong.append(("LOST", f"passed on, and its connection closed by {sent.gateway}"))
+        return wrong
+
+    def lost(self, sent: Sent, arrivals: list[Arrival]) -> bool:
+        """Whether a gateway in no unplanned trouble closed a connection over a request it had passed on."""
+        if sent.status or sent.gave_up or math.isinf(sent.ended) or not arrivals:
+            return False
+        if sent.ended >= sent.deadline or any(arrival.broken for arrival in arrivals):
+            return False
+        since = sent.at - CONTACT
+        if any(begun <= sent.ended and ended >= since for begun, ended in self.troubles[sent.gateway]):
+            return False
+        lives = [life for life in self.lives[sent.gateway] if life.begun <= sent.at]
+        return not lives or sent.ended < lives[-1].term_at + self.grace * LATE_PART
+
+    def summary(self) -> dict[str, Any]:
+        """Counts of a run."""
+        statuses = Counter(sent.status for sent in self.sent.values())
+        return {
+            "requests": len(self.sent), "served": statuses[200], "no answer": statuses[0],
+            "statuses": dict(sorted(statuses.items())), "second answers": self.extra,
+            "operations": dict(sorted(self.done.items())),
+            "processes begun": sum(map(len, self.lives.values())),
+        }  # fmt: skip
