Take signals from the first line on, and stop in order also while starting

Cause, found by the soak: the programs asked for SIGHUP and SIGTERM only once they listened. SIGHUP sent as a process began ended it (-1), and SIGTERM between listening and the handler cut clients off. Before the interpreter runs (0.05 to 0.1 s) nothing can be done.

--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -257,20 +257,22 @@
     older = node.kin.others() if node.kin is not None else 0
     if node.kin is not None:
         node.kin.junior = older > 0
-    if not older:
-        await listen(node, loop, older)
     done = asyncio.Event()
     node.on_done = done.set
     node.reread = reread
-    if config.rules is not None:
-        node.follow(open_rules(node, loop, config.rules))
-    admin = await open_admin(node, loop, admin_path) if admin_path else None
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
+    if not older:
+        await listen(node, loop, older)
+    if config.rules is not None:
+        node.follow(open_rules(node, loop, config.rules))
+    admin = await open_admin(node, loop, admin_path) if admin_path else None
     loop.add_signal_handler(signal.SIGUSR1, node.stats.show)
     heard = asyncio.Event()
     node.on_ready = heard.set
+    if node.listener.stopping:
+        heard.set()
     node.start()
     if older:
         # Another process of this gateway serves here until this one can.
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -24,7 +24,7 @@
 from latchspoke.pool.versions import Versions
 from latchspoke.registry.registry import BeatError, Registry
 from latchspoke.settings import VARIABLE, Settings, SettingsError, load
-from latchspoke.settings.watch import Watch
+from latchspoke.settings.watch import Stamp, Watch, stamp_of
 from latchspoke.transport.log import log, open_log
 from latchspoke.transport.wire import Message, Wire
 
@@ -141,14 +141,20 @@
         self.post.reseed(self.seeds())
 
 
-async def run(kind: type[NodeProcess], settings: Settings, path: str) -> None:
-    """From start to SIGTERM."""
+async def run(kind: type[NodeProcess], settings: Settings, path: str, seen: Stamp | None) -> None:
+    """From start to SIGTERM; ``seen``: the settings file as it was before it was read."""
     loop = asyncio.get_running_loop()
     node = kind(settings, loop, path)
+    node.watch.seen = seen
+    asked_to_stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asked_to_stop.set)
     await node.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    if asked_to_stop.is_set():
+        node.stop()  # in order: clients may have come meanwhile
     gc.collect()
     gc.freeze()
     await node.done.wait()
@@ -160,13 +166,14 @@
     import uvloop
 
     path = path or os.environ.get(VARIABLE, "/etc/latchspoke/local.yaml")
+    seen = stamp_of(path)
     try:
         settings = load(path)
     except SettingsError as e:
         print(f"{name}: {e}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(kind, settings, path))
+        uvloop.run(run(kind, settings, path, seen))
     except unusable as e:
         print(f"{name}: {e}", file=sys.stderr)
         return 1
--- a/latchspoke/settings/watch.py
+++ b/latchspoke/settings/watch.py
@@ -8,6 +8,7 @@
 from latchspoke.settings.node import Settings, SettingsError, load
 from latchspoke.transport.log import log
 
+Stamp = tuple[int, int]
 LOOK = 2.0  # s between looks at the file
 
 
@@ -16,20 +17,12 @@
 
     def __init__(self, path: str, taken: Callable[[Settings], None]) -> None:
         self.path, self.taken = path, taken
-        self.seen = self.stamp()
+        self.seen = stamp_of(path)
         self.looked_at = 0.0
 
-    def stamp(self) -> tuple[int, int] | None:
-        """The file's time of change and size; None where it can't be read."""
-        try:
-            found = os.stat(self.path)
-        except OSError:
-            return None
-        return found.st_mtime_ns, found.st_size
-
     def read(self) -> bool:
         """At once; whether it could be used."""
-        stamp = self.stamp()
+        stamp = stamp_of(self.path)
         try:
             settings = load(self.path)
         except SettingsError as e:
@@ -44,5 +37,14 @@
         """If it is time (s), and the file is another than the last one that was read."""
         if now - self.looked_at >= LOOK:
             self.looked_at = now
-            if self.stamp() != self.seen:
+            if stamp_of(self.path) != self.seen:
                 self.read()
+
+
+def stamp_of(path: str) -> Stamp | None:
+    """A file's time of change (ns) and size (bytes); None where it can't be read."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
--- /dev/null
+++ b/tests/lab/test_soak.py
@@ -0,0 +1,99 @@
+"""Soak runs of the real programs, short and seeded; what their judge must find; signals at a start."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from latchspoke.lab.soak.fleet import ROOT, Fleet
+from latchspoke.lab.soak.record import Arrival, Life, Record, Sent
+from latchspoke.lab.soak.run import Plan, play
+
+INTERPRETER = 0.3  # s until a process runs its first line
+GATEWAY = "127.0.0.2"
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_signals_and_changes_that_overlap_under_open_connections(seed: int, tmp_path: Path) -> None:
+    net = random.SystemRandom().randrange(1, 60)
+    found, counts = play(Plan(seed, seconds=10.0), tmp_path, net)
+    assert not found, "\n".join(map(str, found[:10]))
+    assert counts["second answers"] and counts["processes begun"] > 7
+
+
+@pytest.mark.parametrize("program", ["dataplane", "controlplane"])
+def test_a_process_that_is_told_of_its_settings_all_the_time_comes_up(program: str, tmp_path: Path) -> None:
+    """SIGHUP ended it before it had asked for that signal."""
+    fleet = Fleet(tmp_path, Record(0.0, 3.0), random.SystemRandom().randrange(60, 128), 1, 1)
+    machine = (fleet.edges if program == "dataplane" else fleet.core)[0]
+    environment = os.environ | {"LATCHSPOKE_NODE_FILE": str(fleet.settings(machine, True))}
+    log = tmp_path / "log"
+    with log.open("wb") as out:
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"latchspoke.{program}"],
+            cwd=ROOT, env=environment, stdout=out, stderr=out,
+        )  # fmt: skip
+    try:
+        time.sleep(INTERPRETER)
+        until = time.monotonic() + 20
+        while b"event=serves" not in log.read_bytes() and time.monotonic() < until:
+            assert process.poll() is None, log.read_text()
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.005)
+        assert b"event=serves" in log.read_bytes()
+        process.terminate()
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
+def judged(sent: Sent, *arrivals: Arrival, life: Life | None = None) -> list[str]:
+    record = Record(0.0, 3.0)
+    record.sent[sent.attempt] = sent
+    record.arrivals[sent.attempt] += arrivals
+    record.lives[GATEWAY].append(life or Life(0.0))
+    return [finding.rule for finding in record.findings()]
+
+
+def request(method: str = "GET", **fields: Any) -> Sent:
+    sent = Sent("a1", method, "/levels/now", b"", GATEWAY, 10.0, 11.2, ended=10.5)
+    for name, value in fields.items():
+        setattr(sent, name, value)
+    return sent
+
+
+def arrival(method: str = "GET", **fields: Any) -> Arrival:
+    made = Arrival(
+        "a1", method, "/levels/now", b"", "i-1", 10.1, ran=True, status=200, seal="s", answer=b"hi"
+    )
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+def test_what_a_soak_run_is_judged_by() -> None:
+    served: dict[str, Any] = {"status": 200, "stamped": "a1", "seal": "s", "answer": b"hi"}
+    assert judged(request(**served), arrival()) == []
+    assert judged(request(**served | {"answer": b"h"}), arrival()) == ["MIXED"]
+    assert judged(request(**served | {"stamped": "a0"}), arrival()) == ["MIXED"]
+    assert judged(request(status=504, stamped="a0", seal="t"), arrival()) == ["MIXED"]
+    assert judged(request(status=504, stamped="a1", seal="s"), arrival()) == ["MIXED"]
+    assert judged(request(**served), arrival(path="/other")) == ["UNASKED"]
+    posted = request("POST", **served)
+    assert judged(posted, arrival("POST"), arrival("POST", seal="t")) == ["TWICE"]
+    assert judged(request("POST", status=503), arrival("POST")) == ["REFUSED"]
+    assert judged(request(status=503), arrival()) == []  # repeatable
+    assert judged(request(), arrival()) == ["LOST"]
+    assert judged(request(), arrival(broken=True)) == []
+    assert judged(request(gave_up=True), arrival()) == []
+    assert judged(request(), arrival(), life=Life(0.0, term_at=9.0)) == ["LOST"]
+    assert judged(request(), arrival(), life=Life(0.0, term_at=7.9)) == []  # cut at the end of its grace
