Name the two sides of a gateway upstream and downstream

Cause: back.py and front.py were names of an old theme. Change: dataplane/back.py is upstream.py, dataplane/front.py downstream.py, class Front is Downstream, Node.front is Node.downstream; nothing else.

--- a/latchspoke/dataplane/front.py
+++ b/latchspoke/dataplane/downstream.py
@@ -13,9 +13,9 @@
 from barleyhub.line.dispatch import Call
 from latchspoke.configuration.routes import Limits, Route, Table
 from latchspoke.core import Epoch
-from latchspoke.dataplane.back import HOP, Request
 from latchspoke.dataplane.core import LineCore
 from latchspoke.dataplane.exchange import ClientExchange, status_line
+from latchspoke.dataplane.upstream import HOP, Request
 from latchspoke.net.http import (
     GRACE,
     Connection,
@@ -52,9 +52,9 @@
 
     side = "client"
 
-    def __init__(self, front: Front) -> None:
-        super().__init__(front.shared)
-        self.front = front
+    def __init__(self, downstream: Downstream) -> None:
+        super().__init__(downstream.shared)
+        self.downstream = downstream
         self.exchange: ClientExchange | None = None  # the request that is whole and not yet answered
         self.fault: FramingError | None = None
         self.ending = False
@@ -71,7 +71,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.front.joined(self)
+        self.downstream.joined(self)
 
     def data_received(self, data: bytes) -> None:
         if self.ending or self.fault is not None:
@@ -80,7 +80,7 @@
             self.parser.feed_data(data)
             if self.started and not self.headed:
                 self.size += len(data)
-                if self.size > self.front.limits.header_bytes + 4096:
+                if self.size > self.downstream.limits.header_bytes + 4096:
                     raise FramingError(431, "oversize")
         except httptools.HttpParserUpgrade:
             # It may have come whole and be under way: then its answer is the last one here.
@@ -135,14 +135,14 @@
         super().on_headers_complete()
         self.since = self.shared.clock.now()
         length = self.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self.front.limits.body_bytes:
+        if length.isdigit() and int(length) > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
-        if self.size > self.front.limits.body_bytes:
+        if self.size > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
         self.since = self.shared.clock.now()
         self.parts.append(part)
@@ -155,13 +155,13 @@
             self, self.shared.stats, self.parser.get_method(), self.url, self.headers, self.pairs, self.body,
             self.shared.clock.now(),
         )  # fmt: skip
-        self.front.request(exchange)
+        self.downstream.request(exchange)
 
     # The answer.
 
     @property
     def closing(self) -> bool:
-        return not self.keep or self.front.stopping or self.fault is not None
+        return not self.keep or self.downstream.stopping or self.fault is not None
 
     def answer(self, exchange: ClientExchange, data: bytes) -> bool:
         """Write the answer to the request that is under way, and to no other one."""
@@ -184,17 +184,17 @@
                 self.end(self.fault.reason, flush=True)
         elif self.closing:
             self.ending = True
-            self.end("drained" if self.front.stopping else "asked_close", flush=True)
+            self.end("drained" if self.downstream.stopping else "asked_close", flush=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
-        self.front.clients.pop(self, None)
+        self.downstream.clients.pop(self, None)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            self.front.withdrawn(exchange)
+            self.downstream.withdrawn(exchange)
 
 
-class Front:
+class Downstream:
     """All clients' connections."""
 
     def __init__(
--- a/latchspoke/dataplane/exchange.py
+++ b/latchspoke/dataplane/exchange.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from latchspoke.core import Flow
-from latchspoke.dataplane.back import Answer
+from latchspoke.dataplane.upstream import Answer
 from latchspoke.net.http import REASONS
 from latchspoke.net.stats import Stats
 from latchspoke.transport.log import log
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -13,12 +13,12 @@
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.configuration.routes import Table, compile_table
 from latchspoke.core import Epoch, Forward
-from latchspoke.dataplane.back import UpstreamPools
 from latchspoke.dataplane.core import LineCore
 from latchspoke.dataplane.counts import STEP, Counts
+from latchspoke.dataplane.downstream import ClientConnection, Downstream
 from latchspoke.dataplane.feed import FIRST, Feed, Source, near
-from latchspoke.dataplane.front import ClientConnection, Front
 from latchspoke.dataplane.relay import Relay
+from latchspoke.dataplane.upstream import UpstreamPools
 from latchspoke.distribution.board import Follower, Lease
 from latchspoke.membership.post import PACKS
 from latchspoke.membership.watch import News
@@ -106,10 +106,10 @@
         self.upstream_pools.core = self.core
         self.graph = self.core.graph = Graph(self.clock.now())
         self.core.right = self
-        self.front = Front(self.shared, self.core, self.draw, self.epoch)
-        self.front.proven = lambda: self.lease.proven_at > -math.inf and self.met()
+        self.downstream = Downstream(self.shared, self.core, self.draw, self.epoch)
+        self.downstream.proven = lambda: self.lease.proven_at > -math.inf and self.met()
         deny = bound("configApplyS", 3.0) * LEASE_PART
-        self.front.recent = lambda: self.clock.now() - self.lease.proven_at < deny
+        self.downstream.recent = lambda: self.clock.now() - self.lease.proven_at < deny
         closed = bool(bound("revocationEnforced", 1.0))
         self.lease = Lease(bound("revokeS", 5.0) * LEASE_PART if closed else LEASE_OPEN)
         self.right: Epoch | None = None
@@ -154,7 +154,7 @@
             "role": "edge", "zone": s.zone, "region": s.region, "front": f"{front[0]}:{front[1]}",
             "link": self.link, "ready": ready, PACKS: True,
             "door": s.listen.get("readiness", ("", 0))[1], "old": self.old,
-        } | ({"leaves": True} if self.front.stopping else {}) | (
+        } | ({"leaves": True} if self.downstream.stopping else {}) | (
             {} if self.old or self.late is None else {"late": self.late}
         )  # fmt: skip
 
@@ -218,7 +218,7 @@
         orders = self.board.orders
         assert orders.doc is not None or not orders.version
         if orders.doc is not None and (
-            self.front.table is None or self.front.table.version != orders.version
+            self.downstream.table is None or self.downstream.table.version != orders.version
         ):
             table: Table = compile_table(orders.doc)  # type: ignore[arg-type]
             self.stock.colds = {n: Cold(s.cold_s, s.cold_per_s) for n, s in table.services.items()}
@@ -235,7 +235,7 @@
             self.upstream_pools.caps = {n: s.conn_limit for n, s in table.services.items()}
             self.upstream_pools.most_body = max(table.limits.body_bytes, 1 << 20)
             # One step between two events: what came before goes on under its own epoch's end.
-            self.front.table, self.front.limits = table, table.limits
+            self.downstream.table, self.downstream.limits = table, table.limits
             self.counts.prepare({tenant.name for tenant in table.tenants.values() if tenant.rate})
             self.right = Epoch(f"{orders.version:08x}", self.lease.until)
             log("orders", version=f"{orders.version:08x}", index=orders.index)
@@ -340,11 +340,11 @@
     def settle(self) -> None:
         """Ready is who knows the operator's word, may act by it, and knows of servers."""
         able = (
-            self.front.table is not None
+            self.downstream.table is not None
             and self.clock.now() < self.lease.until
             and bool(self.stock.upstreams)
         ) and self.met()
-        ready = able and not self.front.stopping
+        ready = able and not self.downstream.stopping
         if ready != self.ready:
             self.ready = ready
             if self.late is None:
@@ -352,8 +352,8 @@
                 self.live()
             self.post.tell(self.meta(ready))
             log("ready" if ready else "not-ready", version=self.board.orders.version)
-        if able and self.front.held:
-            self.front.resume()
+        if able and self.downstream.held:
+            self.downstream.resume()
 
     # Messages of other gateways.
 
@@ -395,7 +395,7 @@
         await self.listen(self.post)
         if ready is not None:
             self.servers.append(await create(lambda: Door(self.door), *ready, backlog=64))
-        self.entrance = await create(lambda: ClientConnection(self.front), *front, backlog=1024)
+        self.entrance = await create(lambda: ClientConnection(self.downstream), *front, backlog=1024)
         self.live()
         self.spawn(self.feed.run())
         self.clock.schedule(self.clock.now() + SWEEP, self.sweep)
@@ -406,7 +406,7 @@
         self.clock.schedule(now + SWEEP, self.sweep)
         self.upstream_pools.sweep(now)
         self.relay.sweep(now)
-        self.front.sweep(now)
+        self.downstream.sweep(now)
         if now - self.buried_at >= BURY_EVERY:
             self.buried_at = now
             self.registry.sweep(now, judge=False)
@@ -449,15 +449,15 @@
 
     def stop(self) -> None:
         """Not ready from now on, so that clients go elsewhere; what comes meanwhile is still served."""
-        if self.front.stopping:
+        if self.downstream.stopping:
             return
         self.stopping_at = self.clock.now()
-        self.front.stopping = True
+        self.downstream.stopping = True
         self.settle()
         self.post.tell(self.meta(False))
         self.live()  # what is hosted here is handed on while there is time
         log("stops")
-        self.front.close_idle()
+        self.downstream.close_idle()
         self.clock.schedule(self.stopping_at + 0.05, self.drain)
 
     def drain(self, now: float) -> None:
@@ -467,8 +467,8 @@
         if since > grace * LISTEN_ON and self.entrance.is_serving() and (late or not pending(self.entrance)):
             self.entrance.close()
         if since > grace * LISTEN_ON:
-            self.front.close_idle()
-        over = since > grace * LISTEN_ON and not self.front.busy and not self.front.clients
+            self.downstream.close_idle()
+        over = since > grace * LISTEN_ON and not self.downstream.busy and not self.downstream.clients
         if over or since > grace - END_BEFORE:
             self.end()
         else:
--- a/latchspoke/dataplane/travel.py
+++ b/latchspoke/dataplane/travel.py
@@ -21,8 +21,8 @@
 from barleyhub.line.stock import homes_of
 from latchspoke.configuration.routes import Affinity, Route, Travels
 from latchspoke.core import Epoch, Flow, Forward, Timer
-from latchspoke.dataplane.back import Answer, Request
 from latchspoke.dataplane.exchange import ClientExchange
+from latchspoke.dataplane.upstream import Answer, Request
 from latchspoke.membership.words import Member
 from latchspoke.session_records.bill import Bill, Fate, Peer, key_of
 from latchspoke.session_records.desk import Ask, Desk, Go, Later, Pass, Step, Tell, Terms
@@ -392,12 +392,12 @@
     def key(self, route: str, tenant: str, caller: str) -> tuple[str, bool]:
         from barleyhub.affinity.order import key_of as caller_key
 
-        table = self.node.front.table
+        table = self.node.downstream.table
         known = table.routes.get(route) if table is not None else None
         return key_of(route, tenant, caller_key(caller.encode())), travels_of(known) is not None
 
     def homes(self, route: str, tenant: str) -> tuple[str, ...]:
-        table = self.node.front.table
+        table = self.node.downstream.table
         known = table.routes.get(route) if table is not None else None
         holders = table.tenants.values() if table is not None else ()
         own = next((t.homes for t in holders if t.name == tenant), frozenset[str]())
@@ -407,7 +407,7 @@
         """Another server for a caller, under the next move; not while an exchange is unsettled."""
         key, found = self.key(route, tenant, caller)
         upstream = self.dispatcher.stock.upstreams.get(to)
-        table = self.node.front.table
+        table = self.node.downstream.table
         known = table.routes.get(route) if table is not None else None
         if not found or known is None or known.affinity is None or upstream is None:
             return 400, {"errorText": "no such route that travels, or no such server"}
--- a/latchspoke/dataplane/view.py
+++ b/latchspoke/dataplane/view.py
@@ -105,7 +105,7 @@
     """The whole view."""
     now, settings, orders, lease = node.clock.now(), node.settings, node.board.orders, node.lease
     source = node.feed.source if node.feed.wire is not None else None
-    table = node.front.table
+    table = node.downstream.table
     return {
         "name": settings.name,
         "role": "edge",
@@ -113,7 +113,7 @@
         "region": settings.region,
         "life": node.life,
         "ready": node.ready,
-        "stopping": node.front.stopping,
+        "stopping": node.downstream.stopping,
         "version": f"{orders.version:08x}",
         "acts_by": f"{table.version:08x}" if table is not None else None,
         "index": orders.index,
@@ -131,8 +131,8 @@
             "gateway": source.gateway,
         },
         "gateways": list(node.stock.gateways),
-        "clients": len(node.front.clients),
-        "in_hand": node.front.busy,
+        "clients": len(node.downstream.clients),
+        "in_hand": node.downstream.busy,
         "servers": [server(node.stock, w, now) for w in node.stock.upstreams.values()],
         "evidence": told(node, now),
         "usual_s": {route: round(s, 4) for route, s in sorted(node.stock.usual.items())},
@@ -207,10 +207,10 @@
         ask = read_ask(msgspec.json.decode(body))
     except (AskError, msgspec.DecodeError) as e:
         return 400, {"errorText": str(e)}
-    if node.front.table is None:
+    if node.downstream.table is None:
         return 503, {"errorText": "there is no configuration yet"}
     now = node.clock.now()
-    found = explain(node.front.table, ask, now, node.stock, node.dispatcher)
+    found = explain(node.downstream.table, ask, now, node.stock, node.dispatcher)
     others = told(node, now)
     for each in (server for those in found.get("servers", {}).values() for server in those):
         if each["id"] in others:
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -18,7 +18,7 @@
 from latchspoke.configstore.orders import Orders
 from latchspoke.configuration.routes import Route
 from latchspoke.controlplane import node as controlplane
-from latchspoke.dataplane import back, exchange, feed, front, relay, travel
+from latchspoke.dataplane import downstream, exchange, feed, relay, travel, upstream
 from latchspoke.dataplane import node as dataplane
 from latchspoke.dataplane.core import LineCore
 from latchspoke.distribution.board import Lease
@@ -82,7 +82,7 @@
 
 def only_first(old: Any) -> Any:
     def take(self: Any, now: float) -> None:
-        if self.front.table is None:
+        if self.downstream.table is None:
             old(self, now)
 
     return take
@@ -90,10 +90,10 @@
 
 def goes_back(old: Any) -> Any:
     def take(self: Any, now: float) -> None:
-        before = self.front.table
+        before = self.downstream.table
         old(self, now)
-        if before is not None and before is not self.front.table:
-            self.clock.schedule(now + 1.0, lambda late: setattr(self.front, "table", before))
+        if before is not None and before is not self.downstream.table:
+            self.clock.schedule(now + 1.0, lambda late: setattr(self.downstream, "table", before))
 
     return take
 
@@ -140,14 +140,14 @@
 
 def spoilt(old: Any) -> Any:
     def write(self: Any, answer: Any) -> None:
-        old(self, back.Answer(answer.status, answer.headers, answer.body[:-1] + b"?", answer.attempt))
+        old(self, upstream.Answer(answer.status, answer.headers, answer.body[:-1] + b"?", answer.attempt))
 
     return write
 
 
 def raises(old: Any) -> Any:
     def sweep(self: Any, now: float) -> None:
-        if self.front.number.__reduce__()[1][0] > 40:
+        if self.downstream.number.__reduce__()[1][0] > 40:
             raise RuntimeError("a fault put in")
         old(self, now)
 
@@ -292,7 +292,7 @@
     "homes": Guard("HOME", (), lambda: [on(dispatch, "homes_of", lambda route, tenant: None)]),
     "route": Guard("ROUTE", (), lambda: [around(Route, "service", elsewhere)]),
     "hidden-key": Guard(
-        "UNASKED", (), lambda: [on(front, "REPLACED", front.REPLACED - {b"authorization"})]
+        "UNASKED", (), lambda: [on(downstream, "REPLACED", downstream.REPLACED - {b"authorization"})]
     ),
     "new-versions": Guard("CONFIG", CHANGES, lambda: [around(dataplane.Node, "take_orders", only_first)]),
     "never-back": Guard(
@@ -304,7 +304,7 @@
         (t(1.0, "core_cut", how="halves", lasts=11.0), t(1.5, "change", how="move"),
          *(t(at, "many_routes", count=2) for at in (1.2, 2.2, 3.2, 4.2, 5.2, 6.2))),
         lambda: [on(feed.Feed, "choose", first_source), on(dataplane, "FIRST", 2.5), on(feed, "LEAST", 0.8),
-                 on(front.Front, "deny", front.Front.turn_away), no_relays()],
+                 on(downstream.Downstream, "deny", downstream.Downstream.turn_away), no_relays()],
         cores=5, seed=4,
     ),
     "check": Guard(
--- a/tests/ctl/test_views.py
+++ b/tests/ctl/test_views.py
@@ -48,7 +48,7 @@
 
 
 def test_refusals_quotas_and_budgets_are_told(node: Node) -> None:
-    table = node.front.table
+    table = node.downstream.table
     assert table is not None
     tenant, route = table.tenant(KEY), table.routes["r-read"]
     node.draw.seed(1)
@@ -122,7 +122,7 @@
     page = Path("docs/operating-system.md").read_text()
     sources = {
         "latchspoke/ctl/pages.py": r'finding\(\s*"(\w+)"',
-        "latchspoke/dataplane/front.py": r'turn_away\([^)]*?\d, "(\w+)"',
+        "latchspoke/dataplane/downstream.py": r'turn_away\([^)]*?\d, "(\w+)"',
         "latchspoke/reach/graph.py": r'found.append\("(\w+)"\)',
         "latchspoke/reach/fleet.py": r'found.append\(\s*\("(\w+)"',
         "latchspoke/dataplane/explain.py": r'append\("(\w+)"\)',
--- a/tests/dataplane/player.py
+++ b/tests/dataplane/player.py
@@ -33,7 +33,7 @@
 from unittest.mock import patch
 
 from latchspoke.dataplane import node
-from latchspoke.dataplane.front import ClientConnection
+from latchspoke.dataplane.downstream import ClientConnection
 from latchspoke.membership.watch import Member, News
 from latchspoke.net import http
 from latchspoke.settings import parse
@@ -104,7 +104,7 @@
         pass
 
     def client(self) -> http.Connection:
-        return ClientConnection(self.node.front)
+        return ClientConnection(self.node.downstream)
 
     def stats(self) -> Counter[str]:
         return self.node.stats
--- a/tests/dataplane/test_exchange.py
+++ b/tests/dataplane/test_exchange.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from latchspoke.dataplane.back import Answer
 from latchspoke.dataplane.exchange import ClientExchange
+from latchspoke.dataplane.upstream import Answer
 from latchspoke.net.stats import Stats
 
 
--- a/tests/outliers/test_wiring.py
+++ b/tests/outliers/test_wiring.py
@@ -34,8 +34,8 @@
 
 def fail(node: Node, code: Code, report: dict[str, float], server: str = "b1", times: int = 3) -> None:
     """Requests to the one server that end so."""
-    assert node.front.table is not None
-    route, upstream = node.front.table.routes["r-all"], node.stock.upstreams[server]
+    assert node.downstream.table is not None
+    route, upstream = node.downstream.table.routes["r-all"], node.stock.upstreams[server]
     now = node.clock.now()
     for number in range(times):
         ident = f"q{number}"
