Ignore signals once a process has nothing left to do

Change: net/signals.py, used by both programs and by latchspoke serve: blocked, then ignored, before the loop is closed.

--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -25,6 +25,7 @@
 from latchspoke.net.http import GRACE, Dialer, Shared, Sockets, pending
 from latchspoke.net.kin import Kin, lead_here, shared_socket
 from latchspoke.net.listener import ClientConnection, Listener
+from latchspoke.net.signals import ENDING, ignore_from_now_on
 from latchspoke.net.stats import Stats
 from latchspoke.net.target import TargetGroup
 
@@ -260,7 +261,7 @@
     done = asyncio.Event()
     node.on_done = done.set
     node.reread = reread
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, node.stop)
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     if not older:
@@ -291,6 +292,7 @@
         node.rules.stop()
     await asyncio.sleep(0)  # connections tell of their end on the loop's next round
     node.stats.show()
+    ignore_from_now_on(loop)
 
 
 async def listen(node: Node, loop: asyncio.AbstractEventLoop, older: int) -> None:
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -21,6 +21,7 @@
 from latchspoke.membership.watch import Membership, News
 from latchspoke.membership.words import Member
 from latchspoke.net.clock import Clock
+from latchspoke.net.signals import ENDING, ignore_from_now_on
 from latchspoke.pool.versions import Versions
 from latchspoke.registry.registry import BeatError, Registry
 from latchspoke.settings import VARIABLE, Settings, SettingsError, load
@@ -148,10 +149,10 @@
     node.watch.seen = seen
     asked_to_stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, node.reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, asked_to_stop.set)
     await node.start()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in ENDING:
         loop.add_signal_handler(number, node.stop)
     if asked_to_stop.is_set():
         node.stop()  # in order: clients may have come meanwhile
@@ -159,6 +160,7 @@
     gc.freeze()
     await node.done.wait()
     await asyncio.sleep(LAST_BYTES)
+    ignore_from_now_on(loop)
 
 
 def main(name: str, kind: type[NodeProcess], path: str | None = None, *unusable: type[Exception]) -> int:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -30,8 +30,10 @@
 
 
 @pytest.mark.parametrize("program", ["dataplane", "controlplane"])
-def test_a_process_that_is_told_of_its_settings_all_the_time_comes_up(program: str, tmp_path: Path) -> None:
-    """SIGHUP ended it before it had asked for that signal."""
+def test_a_process_that_is_told_of_its_settings_all_the_time_comes_up_and_ends(
+    program: str, tmp_path: Path
+) -> None:
+    """SIGHUP ended it before it had asked for that signal, and again as its loop was closed."""
     fleet = Fleet(tmp_path, Record(0.0, 3.0), random.SystemRandom().randrange(60, 128), 1, 1)
     machine = (fleet.edges if program == "dataplane" else fleet.core)[0]
     environment = os.environ | {"LATCHSPOKE_NODE_FILE": str(fleet.settings(machine, True))}
@@ -50,7 +52,11 @@
             time.sleep(0.005)
         assert b"event=serves" in log.read_bytes()
         process.terminate()
-        assert process.wait(10) == 0
+        until = time.monotonic() + 10
+        while process.poll() is None and time.monotonic() < until:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.0002)
+        assert process.wait(1) == 0
     finally:
         process.kill()
         process.wait()
