Begin the register before anybody can ask, and let no failed proof be the last

Change: the register begins first; a round that fails says proof-failed, answers without a proof, and the next one runs.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -164,7 +164,7 @@
         that it serves those too who have asked since, with its age."""
         while self.asking:
             begun, first = self.clock.now(), len(self.asking)
-            index = await self.replica.confirm(LIMIT, patient=self.board.orders.index > 0)
+            index = await self.confirmed()
             asking, self.asking = self.asking, []
             if index is None:
                 asking, self.asking = asking[:first], asking[first:]
@@ -182,6 +182,14 @@
                 await asyncio.sleep(max(begun + PROVE - self.clock.now(), 0.01))
         self.proving = False
 
+    async def confirmed(self) -> int | None:
+        """Up to which index this machine surely knows all; None where that can't be proven now."""
+        try:
+            return await self.replica.confirm(LIMIT, patient=self.board.orders.index > 0)
+        except Exception as e:  # one round that fails must not be the last
+            log("proof-failed", why=repr(e))
+            return None
+
     # Other control machines.
 
     def peer_joined(self, wire: Wire) -> None:
@@ -567,11 +575,11 @@
         """Listen, and begin the periodic work. Raises OSError."""
         s = self.settings
         create = self.loop.create_server
+        self.replica.start()  # before anybody can ask
         await self.listen(self.post)
         for name in ("controlPlane", "directoryService"):
             if name in s.listen:
                 self.servers.append(await create(lambda: Door(self.control), *s.listen[name], backlog=512))
-        self.replica.start()
         self.core_changed()
         now = self.clock.now()
         self.clock.schedule(now + SWEEP, self.sweep)
--- a/latchspoke/transport/log.py
+++ b/latchspoke/transport/log.py
@@ -14,9 +14,9 @@
 
 # Levels of events; all others are told as "info".
 LEVELS = {
-    "register-failed": "error", "disk-refuses": "error", "settings-refused": "warning",
-    "configuration-refused": "warning", "feed-gap": "warning", "feed-ended": "warning",
-    "not-ready": "warning", "lost-majority": "warning", "old-disk": "warning",
+    "proof-failed": "error", "register-failed": "error", "disk-refuses": "error",
+    "settings-refused": "warning", "configuration-refused": "warning", "feed-gap": "warning",
+    "feed-ended": "warning", "not-ready": "warning", "lost-majority": "warning", "old-disk": "warning",
 }  # fmt: skip
 WAITING: deque[tuple[float, str, dict[str, Any]]] = deque(maxlen=200)
 LOGGER: list[Any] = []
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -37,6 +37,8 @@
         self.meanwhile: Callable[[], object] = lambda: None
         self.submitted: Callable[[dict[str, Any]], object] = lambda command: None
         self.voters = {f"10.{n}.0.11:7601" for n in range(1, 6)}
+        self.begun: list[str] = []
+        self.fails = False
 
     def commit(self, version: int, doc: dict[str, Any] | None) -> None:
         self.orders = self.made(self.orders.index + 1, version, doc)
@@ -48,8 +50,13 @@
             standing=lambda zone: self.stand.get(zone, 0),
         )  # fmt: skip
 
+    def start(self) -> None:
+        self.begun.append("register")
+
     async def confirm(self, limit: float, **more: Any) -> int | None:
         self.confirms += 1
+        if self.fails:
+            raise RuntimeError("a fault put in")
         index = cast(int, self.orders.index)
         await asyncio.sleep(0.01)
         self.meanwhile()
@@ -394,3 +401,30 @@
         late = next(told["n"] for told in reversed(box.peers) if "n" in told)
         box.loop.close()
     assert statuses == [200, 503]
+
+
+def test_the_register_is_begun_before_anybody_can_ask(box: Box, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A gateway that asked for a proof in between ended the proofs of that machine for good."""
+
+    async def listen(post: object) -> None:
+        box.replica.begun.append("port")
+        raise OSError("far enough")
+
+    monkeypatch.setattr(box.node, "listen", listen)
+    with pytest.raises(OSError, match="far enough"):
+        box.run(box.node.start())
+    assert box.replica.begun == ["register", "port"]
+
+
+def test_proofs_go_on_after_one_that_failed(box: Box) -> None:
+    box.loop.set_exception_handler(lambda loop, context: None)
+    box.replica.fails = True
+    first = box.wire()
+    box.node.prove(first, 1)
+    box.run(asyncio.sleep(1.0))
+    assert first.sent == [{"k": "proven", "t": 1}]
+    box.replica.fails = False
+    second = box.wire()
+    box.node.prove(second, 2)
+    box.run(asyncio.sleep(1.0))
+    assert [told.get("index") for told in second.sent] == [0]
