--- a/latchspoke/lab/soak/run.py
+++ b/latchspoke/lab/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import random
 import signal
@@ -238,13 +237,18 @@
 
 
 def play(plan: Plan, folder: Path, net: int) -> tuple[list[Finding], dict[str, Any]]:
-    """A run in a loop of its own: its findings and counts. Raises NotUpError."""
+    """A run in a loop of its own: its findings and counts. Raises NotUpError, also if interrupted."""
 
     async def story() -> tuple[list[Finding], dict[str, Any]]:
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         run = Run(plan, folder, net)
         found = await run.play()
         return found, run.record.summary()
 
-    with contextlib.suppress(KeyboardInterrupt):
+    try:
         return asyncio.run(story())
-    raise NotUpError("interrupted")
+    except asyncio.CancelledError:
+        raise NotUpError("interrupted") from None
