--- a/latchspoke/lab/soak/parties.py
+++ b/latchspoke/lab/soak/parties.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from latchspoke.lab.loopback.http import Link
 from latchspoke.lab.soak.record import Arrival, Record, Sent
 
 Address = tuple[str, int]
@@ -46,46 +47,21 @@
             writer.close()
 
 
-class ServerConnection(asyncio.Protocol):
-    """A gateway's connection to a server: one request at a time."""
+class ServerConnection(Link):
+    """A gateway's connection to a server: one request at a time, but for answers that come twice."""
 
     def __init__(self, server: Server) -> None:
+        super().__init__()
         self.server = server
-        self.transport: asyncio.Transport | None = None
-        self.parser = httptools.HttpRequestParser(self)
-        self.url, self.headers, self.body = b"", dict[bytes, bytes](), b""
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A gateway has connected."""
-        self.transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self.server.connections.add(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Bytes of a request."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.abort()
-
-    def on_message_begin(self) -> None:
-        """A request begins."""
-        self.url, self.headers, self.body = b"", {}, b""
-
-    def on_url(self, url: bytes) -> None:
-        """A part of its target."""
-        self.url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """One of its headers."""
-        self.headers[name.lower()] = value
-
-    def on_body(self, part: bytes) -> None:
-        """A part of its body."""
-        self.body += part
-
     def on_message_complete(self) -> None:
-        """It is whole."""
+        """A request is whole."""
         self.server.asked(self, self.parser.get_method().decode())
 
     def write(self, data: bytes) -> None:
@@ -93,11 +69,6 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
-    def abort(self) -> None:
-        """Break it off."""
-        if self.transport is not None:
-            self.transport.abort()
-
     def connection_lost(self, exc: Exception | None) -> None:
         """The gateway has left: what is under way is dropped."""
         self.server.connections.discard(self)
