--- a/latchspoke/core.py
+++ b/latchspoke/core.py
@@ -28,15 +28,18 @@
 class Timer(Protocol):
     """What ``Ports.schedule`` gives."""
 
-    def cancel(self) -> None: ...
+    def cancel(self) -> None:
+        """It won't fire."""
 
 
 class Client(Protocol):
     """Where the one final answer of a flow goes."""
 
-    def served(self, answer: object) -> None: ...
+    def served(self, answer: object) -> None:
+        """A server has served it: its answer."""
 
-    def refused(self, retry_after: float | None) -> None: ...
+    def refused(self, retry_after: float | None) -> None:
+        """It lies beyond its quota, and has not run; when to come back, in s."""
 
     def failed(self, failure: object | None) -> None:
         """Nobody has served it; ``failure`` is the last that a server answered this very request with."""
@@ -54,7 +57,8 @@
     def count(self, name: int, amount: float, life: float) -> None:
         """Call the counter; report with ``Core.counted``."""
 
-    def schedule(self, when: float, call: Callable[[float], None]) -> Timer: ...
+    def schedule(self, when: float, call: Callable[[float], None]) -> Timer:
+        """Call once that moment (s) has come."""
 
 
 class Epoch:
@@ -75,7 +79,8 @@
     def lapse_at(self) -> float:
         """The moment (s, by ``clock``) at which a right ends next, or inf."""
 
-    def clock(self) -> float: ...
+    def clock(self) -> float:
+        """The time (s) by which rights end."""
 
     def lapse(self) -> None:
         """A right has ended; ``epoch`` and the module's rules are others from now on."""
@@ -100,6 +105,7 @@
         self.failure: object | None = None  # a server's own, for the client if nothing better comes
 
     def due(self, now: float) -> float:
+        """When all that is out for it must have ended (s), so that its answer still arrives."""
         left = self.request.left
         return now + left - min(ANSWER_MARGIN, left * LEAST_PART)
 
@@ -128,6 +134,7 @@
         self.acting = False
 
     def start(self, now: float) -> None:
+        """The module is told of the start."""
         for action in self.gateway.start(now):
             self.act(action, now)
 
@@ -225,6 +232,7 @@
         self.ended(forward, api.Code.CANCELLED, now)
 
     def counted(self, name: int, code: api.Code, took: float, total: float, now: float) -> None:
+        """A call of the counter is over."""
         self.stats[f"counter.{code.value}"] += 1
         self.give(api.CountAnswer(name, code, took, total), now)
 
@@ -233,6 +241,7 @@
         self.give(api.CountAnswer(name, api.Code.OK, took, total, late=True), now)
 
     def listed(self, servers: api.ServerList, now: float) -> None:
+        """Discovery tells of servers."""
         self.give(servers, now)
 
     def give(self, event: api.Event, now: float) -> None:
@@ -252,6 +261,7 @@
         self.acting = False
 
     def act(self, action: api.Action, now: float) -> None:
+        """Carry out what the module wants done."""
         match action:
             case api.Send(request, target, timeout):
                 self.send(request, target, timeout, now)
@@ -276,6 +286,7 @@
                 log.warning("no port for %s", type(action).__name__)
 
     def send(self, request: str, target: str, timeout: float | None, now: float) -> None:
+        """Send a flow to a target, if it is still worth while."""
         flow = self.flows.get(request)
         if flow is None:
             log.warning("a send for no flow: %s", request)
@@ -306,12 +317,14 @@
         return True
 
     def cancel(self, request: str, attempt: int, now: float) -> None:
+        """Stop waiting for one attempt."""
         flow = self.flows.get(request)
         if flow is not None and attempt < len(flow.forwards) and not flow.forwards[attempt].ended:
             self.ports.drop(flow.forwards[attempt])
             self.ended(flow.forwards[attempt], api.Code.CANCELLED, now)
 
     def overdue(self, forward: Forward, now: float) -> None:
+        """An attempt has had its time."""
         if not forward.ended:
             self.ports.drop(forward)
             self.ended(forward, api.Code.TIMEOUT, now)
@@ -338,6 +351,7 @@
         return flow
 
     def close(self, flow: Flow) -> None:
+        """Its final answer has been given: no other one will be."""
         flow.closed = True
         self.forget(flow)
 
--- a/latchspoke/dataplane/core.py
+++ b/latchspoke/dataplane/core.py
@@ -32,12 +32,14 @@
         self.graph: Graph | None = None
 
     def arrived(self, request: api.Request, message: object, client: Client, now: float) -> Flow:
+        """A request has come whole; ``begin`` is to follow."""
         flow = self.flows[request.request] = Flow(request, message, client, now)
         flow.timer = self.ports.schedule(flow.until, lambda late: self.expire(flow, late))
         self.stats["flows.taken"] += 1
         return flow
 
     def begin(self, flow: Flow, now: float) -> None:
+        """Put it to the dispatcher, whose answer may be final already."""
         self.give(flow.request, now)
 
     def lapsed(self, flow: Flow) -> bool:
@@ -51,6 +53,7 @@
         self, forward: Forward, code: api.Code, now: float, answer: object = None,
         report: dict[str, float] | None = None,
     ) -> None:  # fmt: skip
+        """As ``Core.ended``; what became of it is noted for who asks which servers requests reach."""
         request = forward.flow.request
         if self.graph is not None and not forward.ended and isinstance(request, Call) and request.route:
             upstream = self.dispatcher.stock.upstreams.get(forward.target)
@@ -59,6 +62,7 @@
         super().ended(forward, code, now, answer, report)
 
     def act(self, action: api.Action, now: float) -> None:
+        """As ``Core.act``, with refusals for want of room."""
         if isinstance(action, Full):
             flow = self.final(action.request, "flows.no_room")
             if flow is not None:
@@ -70,6 +74,8 @@
 class Rights(Protocol):
     """The right to act with keys, under the operator's word as it is known here."""
 
-    def now(self) -> float: ...
+    def now(self) -> float:
+        """The time (s) by which rights end."""
 
-    def epoch(self) -> Epoch | None: ...
+    def epoch(self) -> Epoch | None:
+        """The right to act with keys now, or None."""
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -70,10 +70,12 @@
         return self.exchange is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It has come up."""
         super().connection_made(transport)
         self.downstream.joined(self)
 
     def data_received(self, data: bytes) -> None:
+        """Bytes have come."""
         if self.ending or self.fault is not None:
             return
         try:
@@ -95,6 +97,7 @@
             self.answer_fault()
 
     def answer_fault(self) -> None:
+        """Say what is wrong with what came, and read on a little, so that it arrives."""
         if self.fault is None or self.transport is None or self.lost:
             return
         fault, self.ending = self.fault, True
@@ -111,6 +114,7 @@
     # The parser's callbacks.
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         if self.busy:
             # It is left unread: who sent it may send it again on another connection.
             raise FramingError(0, "pipelined")
@@ -120,6 +124,7 @@
         self.since = self.shared.clock.now()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
         lower = name.lower()
         known = self.headers.get(lower)
         if known is not None and lower in SINGLE:
@@ -129,9 +134,11 @@
         self.pairs.append((name, value))
 
     def on_url(self, url: bytes) -> None:
+        """A part of the target."""
         self.url += url
 
     def on_headers_complete(self) -> None:
+        """The head is whole."""
         super().on_headers_complete()
         self.since = self.shared.clock.now()
         length = self.headers.get(b"content-length", b"0")
@@ -141,6 +148,7 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
+        """A part of the body."""
         self.size += len(part)
         if self.size > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
@@ -148,6 +156,7 @@
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
+        """A message is whole."""
         self.started = False
         self.messages += 1
         self.keep = self.parser.should_keep_alive()
@@ -161,6 +170,7 @@
 
     @property
     def closing(self) -> bool:
+        """Whether it ends with the answer that is under way."""
         return not self.keep or self.downstream.stopping or self.fault is not None
 
     def answer(self, exchange: ClientExchange, data: bytes) -> bool:
@@ -187,6 +197,7 @@
             self.end("drained" if self.downstream.stopping else "asked_close", flush=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """It has ended."""
         super().connection_lost(exc)
         self.downstream.clients.pop(self, None)
         exchange, self.exchange = self.exchange, None
@@ -213,6 +224,7 @@
         self.most = int(shared.sockets.most * 0.6)
 
     def joined(self, client: ClientConnection) -> None:
+        """A client has connected; where there are too many, one that rests makes room."""
         self.clients[client] = None
         self.shared.stats["clients.accepted"] += 1
         if len(self.clients) > self.most:
@@ -355,8 +367,10 @@
                 client.end_idle("drained", flush=True)
 
     def idle(self) -> list[ClientConnection]:
+        """Connections on which nothing is under way."""
         return [c for c in self.clients if not c.busy and not c.started and not c.ending]
 
     @property
     def busy(self) -> int:
+        """How many requests are under way."""
         return sum(client.busy for client in self.clients)
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -82,10 +82,12 @@
         self.parser = httptools.HttpResponseParser(self)
 
     def on_unopened(self) -> None:
+        """It never came up."""
         self.upstream_pool.closed(self)
         self.finish(api.Code.UNREACHABLE)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It has come up."""
         super().connection_made(transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -97,6 +99,7 @@
             self.upstream_pools.write(self)
 
     def data_received(self, data: bytes) -> None:
+        """Bytes have come."""
         if self.forward is None:
             self.end("unasked")
             return
@@ -116,18 +119,21 @@
     # The parser's callbacks.
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         if self.done is not None:
             raise FramingError(400, "unasked")
         super().on_message_begin()
         self.pairs = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """One header."""
         name = name.lower()
         self.headers[name] = value
         if name not in HOP:
             self.pairs.append((name, value))
 
     def on_headers_complete(self) -> None:
+        """The head is whole."""
         super().on_headers_complete()
         forward = self.forward
         if forward is not None and self.parser.get_status_code() >= 200:
@@ -138,12 +144,14 @@
                 self.on_message_complete()
 
     def on_body(self, part: bytes) -> None:
+        """A part of the body."""
         self.size += len(part)
         if self.size > self.upstream_pools.most_body:
             raise FramingError(413, "oversize")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
+        """A message is whole."""
         self.started = False
         status = self.parser.get_status_code()
         if status < 200 or self.done is not None:
@@ -188,6 +196,7 @@
             self.done = api.Code.OK, Answer(status, pairs, body, told), NOTHING
 
     def read_keep_alive(self, text: bytes) -> None:
+        """How long its server keeps it idle, as a ``Keep-Alive`` header says."""
         for item in text.split(b","):
             name, _, value = item.strip().partition(b"=")
             seconds = read_decimal(value) if name.lower() == b"timeout" else None
@@ -209,6 +218,7 @@
         self.upstream_pools.core.ended(forward, code, self.shared.clock.now(), answer, report)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """It has ended."""
         unwritten = self.transport is not None and self.transport.get_write_buffer_size() > 0
         super().connection_lost(exc)
         self.upstream_pool.closed(self)
@@ -226,6 +236,7 @@
         self.finish(api.Code.UNREACHABLE if unwritten and self.messages == 0 else api.Code.RESET, report)
 
     def finish(self, code: api.Code, report: dict[str, float] = NOTHING) -> None:
+        """The forward on it is over without an answer."""
         forward, self.forward = self.forward, None
         if forward is not None:
             forward.link = None
@@ -257,6 +268,7 @@
         return None
 
     def keep(self, connection: ServerConnection) -> None:
+        """It rests until its next forward."""
         if len(self.idle) < KEPT:
             connection.idle_since = connection.shared.clock.now()
             self.idle.append(connection)
@@ -264,15 +276,18 @@
             connection.end("not_kept", flush=True)
 
     def closed(self, connection: ServerConnection) -> None:
+        """A connection has ended."""
         self.open -= 1
         if connection in self.idle:
             self.idle.remove(connection)
 
     def sweep(self, now: float) -> None:
+        """Close what has rested for too long; ``now`` in s."""
         while self.idle and now - self.idle[0].idle_since >= self.idle[0].idle_limit:
             self.idle.pop(0).end("idle")
 
     def close_idle(self, code: str) -> None:
+        """Close all that rest, for this reason."""
         idle, self.idle = self.idle, []
         for connection in idle:
             connection.end(code)
@@ -291,6 +306,7 @@
         self.free_client: Any = lambda: False
 
     def forward(self, forward: Forward) -> None:
+        """Send it on a connection that rests, or on a new one."""
         now = self.shared.clock.now()
         upstream = self.stock.upstreams.get(forward.target)
         if upstream is None or upstream.state:
--- a/latchspoke/net/stats.py
+++ b/latchspoke/net/stats.py
@@ -11,7 +11,9 @@
     """Named counts; the names stand in the README."""
 
     def line(self) -> str:
+        """All counts as one line of JSON."""
         return json.dumps(dict(sorted(self.items())), separators=(",", ":"))
 
     def show(self) -> None:
+        """Print them on standard error."""
         print(f"stats {self.line()}", file=sys.stderr, flush=True)
