Judge LOST in whole soak runs; count only early signals as such

Cause, found by rereading: at a run's end every request without an answer was marked as given up by its client, so that no whole run could find LOST, and SIGKILL counted as a signal that came too early. Change: only what is under way as the clients leave; SIGHUP and SIGTERM alone.

--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -151,7 +151,7 @@
         process = machine.process
         if process is None or process.returncode is not None:
             return
-        if not heeds(process.pid, number):
+        if number in (signal.SIGHUP, signal.SIGTERM) and not heeds(process.pid, number):
             self.record.lives[machine.ip][-1].unheeded.add(number)
         with contextlib.suppress(ProcessLookupError):
             os.kill(process.pid, number)  # send_signal would reap it, and its exit code be lost
--- a/latchspoke/lab/soak/record.py
+++ b/latchspoke/lab/soak/record.py
@@ -93,6 +93,11 @@
     done: Counter[str] = field(default_factory=Counter)  # operations, by kind
     extra: int = 0  # second answers that servers gave
 
+    def leave(self) -> None:
+        """All clients are about to leave: what is under way now has no answer for that reason."""
+        for sent in self.sent.values():
+            sent.gave_up = sent.gave_up or math.isinf(sent.ended)
+
     def findings(self) -> list[Finding]:
         """All breaches, by time."""
         found = [
--- a/latchspoke/lab/soak/run.py
+++ b/latchspoke/lab/soak/run.py
@@ -210,11 +210,10 @@
             await asyncio.sleep(SETTLE)
         finally:
             clients = self.tasks[: self.plan.clients]
+            self.record.leave()
             for task in clients:
                 task.cancel()
             await asyncio.gather(*clients, return_exceptions=True)
-            for sent in self.record.sent.values():
-                sent.gave_up = sent.gave_up or not sent.status  # those under way as the clients left
             await self.fleet.stop_all()
             rest = [*self.tasks[self.plan.clients :], *self.servers.values()]
             for task in rest:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import random
 import signal
@@ -103,3 +104,16 @@
     assert judged(request(gave_up=True), arrival()) == []
     assert judged(request(), arrival(), life=Life(0.0, term_at=9.0)) == ["LOST"]
     assert judged(request(), arrival(), life=Life(0.0, term_at=7.9)) == []  # cut at the end of its grace
+
+
+def test_only_what_is_under_way_as_the_clients_leave_counts_as_given_up() -> None:
+    """All that had no answer did, so that no run could find LOST."""
+    record = Record(0.0, 3.0)
+    record.lives[GATEWAY].append(Life(0.0))
+    cut, under_way = request(), request(attempt="a2", ended=math.inf)
+    record.sent |= {"a1": cut, "a2": under_way}
+    record.arrivals["a1"].append(arrival())
+    record.arrivals["a2"].append(arrival(attempt="a2"))
+    record.leave()
+    under_way.ended = 10.6
+    assert [(finding.rule, finding.attempt) for finding in record.findings()] == [("LOST", "a1")]
