--- a/latchspoke/lab/soak/__main__.py
+++ b/latchspoke/lab/soak/__main__.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import json
-import random
 import shutil
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 
 import cyclopts
 
+from latchspoke.lab.soak.fleet import claim_net
 from latchspoke.lab.soak.run import NotUpError, Plan, play
 
 app = cyclopts.App(name="soak", help=__doc__)
@@ -30,9 +30,10 @@
     for number in range(seed, seed + seeds):
         plan = Plan(number, seconds, gateways, control, clients, series=series)
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None))
-        net = random.SystemRandom().randrange(130, 250)
+        net, claim = claim_net()
         try:
-            found, counts = play(plan, folder, net)
+            with claim:
+                found, counts = play(plan, folder, net)
         except NotUpError as e:
             print(f"seed {number}: {e}; logs in {folder}", file=sys.stderr)
             return 2
--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -6,7 +6,9 @@
 import contextlib
 import json
 import os
+import random
 import signal
+import socket
 import sys
 import time
 from dataclasses import dataclass
@@ -17,6 +19,8 @@
 
 ROOT = Path(__file__).parents[3]
 CONTROL, READINESS, FRONT, LOCATOR = 8200, 8201, 8206, 8209  # ports
+NETS = range(130, 250)
+CLAIM = 7599  # port, bound at a net by the run that has it
 GRACE = 3.0  # s
 ZONES = {"left-bank": "west", "right-bank": "east"}
 BOUNDS = [
@@ -38,6 +42,19 @@
     stops: bool = False
 
 
+def claim_net() -> tuple[int, socket.socket]:
+    """The second part of loopback addresses that no other run has, until the socket is closed."""
+    for net in random.SystemRandom().sample(NETS, len(NETS)):
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.0.1", CLAIM))
+        except OSError:
+            claim.close()
+            continue
+        return net, claim
+    raise OSError("each net is in use")
+
+
 def heeds(pid: int, number: signal.Signals) -> bool:
     """Whether a process handles this signal, or ignores it."""
     try:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,7 +4,6 @@
 
 import math
 import os
-import random
 import signal
 import subprocess
 import sys
@@ -14,7 +13,7 @@
 
 import pytest
 
-from latchspoke.lab.soak.fleet import ROOT, Fleet
+from latchspoke.lab.soak.fleet import ROOT, Fleet, claim_net
 from latchspoke.lab.soak.record import Arrival, Life, Record, Sent
 from latchspoke.lab.soak.run import Plan, play
 
@@ -24,8 +23,9 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_signals_and_changes_that_overlap_under_open_connections(seed: int, tmp_path: Path) -> None:
-    net = random.SystemRandom().randrange(1, 60)
-    found, counts = play(Plan(seed, seconds=10.0), tmp_path, net)
+    net, claim = claim_net()
+    with claim:
+        found, counts = play(Plan(seed, seconds=10.0), tmp_path, net)
     assert not found, "\n".join(map(str, found[:10]))
     assert counts["second answers"] and counts["processes begun"] > 7
 
@@ -35,7 +35,8 @@
     program: str, tmp_path: Path
 ) -> None:
     """SIGHUP ended it before it had asked for that signal, and again as its loop was closed."""
-    fleet = Fleet(tmp_path, Record(0.0, 3.0), random.SystemRandom().randrange(60, 128), 1, 1)
+    net, claim = claim_net()
+    fleet = Fleet(tmp_path, Record(0.0, 3.0), net, 1, 1)
     machine = (fleet.edges if program == "dataplane" else fleet.core)[0]
     environment = os.environ | {"LATCHSPOKE_NODE_FILE": str(fleet.settings(machine, True))}
     log = tmp_path / "log"
@@ -61,6 +62,7 @@
     finally:
         process.kill()
         process.wait()
+        claim.close()
 
 
 def judged(sent: Sent, *arrivals: Arrival, life: Life | None = None) -> list[str]:
@@ -117,3 +119,11 @@
     record.leave()
     under_way.ended = 10.6
     assert [(finding.rule, finding.attempt) for finding in record.findings()] == [("LOST", "a1")]
+
+
+def test_two_runs_at_once_have_nets_of_their_own() -> None:
+    """One that drew the net of another met its processes."""
+    claims = [claim_net() for _ in range(50)]
+    assert len({net for net, _ in claims}) == 50
+    for _, claim in claims:
+        claim.close()
