--- a/review/1/kill_at_start.py
+++ b/review/1/kill_at_start.py
@@ -1,7 +1,8 @@
-"""Sends SIGKILL to a process that starts, when it has begun to write register.new; exit code 1 if it missed that.
+"""Sends SIGKILL to a process that starts, when it has begun to write register.new.
 
-A process of its own, so that nothing keeps it from looking. It looks at the file and changes nothing.
-Argument: path of the file. It says "ready", and then reads the process id from standard input.
+A process of its own, so that nothing keeps it from looking. It looks at the file and changes nothing. Exit
+code 1 if it missed that. Argument: path of the file. It says "ready", and then reads the process id from
+standard input.
 """
 
 import os
@@ -11,6 +12,7 @@
 
 
 def stamp(path):
+    """Time and number of the file; None if it is missing."""
     try:
         status = os.stat(path)
     except OSError:
@@ -19,6 +21,7 @@
 
 
 def main():
+    """Look until the file changes, then kill."""
     path = sys.argv[1]
     before = stamp(path)
     print("ready", flush=True)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from rig import FRONT, LOCATOR, CannotRunError, Deployment, Record, ask, parse_answer, run_case  # noqa: E402
+from rig import FRONT, LOCATOR, CannotRunError, Deployment, Record, ask, parse_answer, run_case
 
 FOLDER = Path(__file__).resolve().parent
 GRACE_S, WORK_S, DEADLINE_S = 6.0, 3.5, 12.0
@@ -18,23 +18,27 @@
 
 
 def configuration() -> dict[str, object]:
+    """One repeatable route for one tenant."""
     return {
         "limits": {
             "maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15,
         },
         "tenants": [{"name": "sese880", "apiKeys": ["9anu6wsjnbanfqasnmgk"], "priority": 1}],
         "listenerList": [{"host": "jepu9.example", "ruleSet": [{
-            "name": "r-export", "routeKind": "idempotent", "targetLatencyS": 3, "priority": 2, "keyless": False,
+            "name": "r-export", "routeKind": "idempotent", "targetLatencyS": 3, "priority": 2,
+            "keyless": False,
             "matchCriteria": {"pathPrefix": "/export/"},
             "actionSpec": {"service": "zlecenie", "timeoutS": 12, "maxAttempts": 1, "homeRegions": []},
         }]}],
         "clusterList": [{
-            "name": "zlecenie", "healthPath": "/health", "connectionLimit": 130, "coldStartS": 0, "coldPerS": 0,
+            "name": "zlecenie", "healthPath": "/health", "connectionLimit": 130,
+            "coldStartS": 0, "coldPerS": 0,
         }],
     }  # fmt: skip
 
 
 def play(record: Record, trouble: bool, holder: list[Deployment]) -> bool:
+    """Whether the rule was broken."""
     deployment = Deployment(record, edges=2)
     holder.append(deployment)
     record("starts 3 control machines, 2 gateways, 3 servers of the service zlecenie")
@@ -48,7 +52,6 @@
     deployment.wait_ready()
     time.sleep(4.5)  # contactS, so that all are in touch
     edge = deployment.edges[0]
-    front = f"{edge.ip}:{FRONT}"
     query = f"/resolution?name=jepu9.example&region=mazowsze&zone={edge.zone}"
     _, _, told = ask((deployment.core[0].ip, LOCATOR), "GET", query, {"Host": "l"})
     record(f"locator: {told.decode()}")
@@ -64,7 +67,6 @@
         sent = 0.0
         try:
             with socket.create_connection((edge.ip, FRONT), 1.0) as sock:
-                up = time.monotonic() - begun
                 time.sleep(max(begun + SENT_S - time.monotonic(), 0.0))
                 head = (
                     "GET /export/1 HTTP/1.1\r\nHost: jepu9.example\r\n"
@@ -78,7 +80,9 @@
             outcome = f"no answer: {error!r}"
         ended = time.monotonic() - begun
         outcomes[number] = sent, ended, outcome
-        record(f"client {number}: open, request sent {sent:.3f} s, ended {ended:.3f} s after SIGTERM: {outcome}")
+        record(
+            f"client {number}: open, request sent {sent:.3f} s, ended {ended:.3f} s after SIGTERM: {outcome}"
+        )
 
     threads = [threading.Thread(target=client, args=pair) for pair in enumerate(OPENED_S)]
     for thread in threads:
@@ -102,7 +106,7 @@
         passed_on = f'"event": "run", "attempt": "late-{number}"' in text
         if passed_on and outcome.startswith("no answer") and sent > 3.0 and ended < GRACE_S + 1.0:
             lost += 1
-            record(f"LOST: request {number}, sent {sent:.3f} s after SIGTERM ({front}), was passed on and not answered")
+            record(f"LOST: request {number}, sent {sent:.3f} s after SIGTERM, was passed on and not answered")
     if not outcomes:
         raise CannotRunError("no client")
     return lost > 0
--- a/review/rig.py
+++ b/review/rig.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -47,6 +48,7 @@
         self.lock = threading.Lock()
 
     def __call__(self, text: str) -> None:
+        """Write a line, with the seconds since the start."""
         with self.lock:
             line = f"{time.monotonic() - self.begun:8.3f} {text}"
             self.file.write(line + "\n")
@@ -110,9 +112,7 @@
         self.net = self.free_net()
         zones = list(ZONES)
         self.core = [Machine("controlplane", zone, self.ip(n, 1), n) for n, zone in enumerate(zones)]
-        self.edges = [
-            Machine("dataplane", zones[n % len(zones)], self.ip(n, 2), n) for n in range(edges)
-        ]
+        self.edges = [Machine("dataplane", zones[n % len(zones)], self.ip(n, 2), n) for n in range(edges)]
         self.control = [(m.ip, CONTROL) for m in self.core]
         self.children: list[subprocess.Popen[bytes]] = []
         self.version = 0
@@ -125,9 +125,11 @@
             raise CannotRunError("target/deps is missing: run the build line of the deploy file first")
 
     def ip(self, number: int, kind: int) -> str:
+        """The address of a machine; kind 1 is the core, 2 the edge, 3 the servers."""
         return f"127.{self.net}.{kind}.{number + 1}"
 
     def free_net(self) -> int:
+        """The second part of addresses at which no port in question is in use."""
         for _ in range(20):
             net = random.SystemRandom().randrange(20, 250)
             try:
@@ -141,6 +143,7 @@
         raise CannotRunError("no free loopback addresses")
 
     def settings(self, machine: Machine, initial: bool) -> Path:
+        """The settings file of a machine, written."""
         control = machine.role == "controlplane"
         home = self.folder / machine.name
         home.mkdir(exist_ok=True)
@@ -175,6 +178,7 @@
         return path
 
     def spawn(self, words: list[str], log: str, **variables: str) -> subprocess.Popen[bytes]:
+        """Start a process that writes to a log of its own."""
         environment = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
         environment |= {"PYTHONPATH": str(ROOT / "target" / "deps"), "PYTHONDONTWRITEBYTECODE": "1"}
         with (self.folder / f"{log}.log").open("ab") as out:
@@ -185,11 +189,13 @@
         return child
 
     def start_machine(self, machine: Machine, initial: bool = False) -> None:
+        """Start the process of a machine."""
         path = self.settings(machine, initial)
         words = shlex.split(self.commands[machine.role])
         machine.process = self.spawn(words, machine.name, LATCHSPOKE_NODE_FILE=str(path))
 
     def start(self) -> None:
+        """Start all machines for the first time."""
         for machine in [*self.core, *self.edges]:
             self.start_machine(machine, True)
 
@@ -213,17 +219,20 @@
         raise CannotRunError(f"{call} got no clear answer")
 
     def configure(self, fields: dict[str, object], within: float = 20.0) -> int:
+        """Send a whole configuration on top of the last one; the status."""
         base, self.version = self.version, self.version + 1
         document = {"version": f"{self.version:08x}", "baseVersion": f"{base:08x}", **fields}
         return self.order("configuration.replace", document, within)
 
     def ready(self, machine: Machine) -> bool:
+        """Whether the gateway counts as ready."""
         try:
             return ask((machine.ip, READINESS), "GET", "/readiness", {"Host": "r"}, limit=1.0)[0] == 200
         except OSError:
             return False
 
     def wait_ready(self, within: float = 20.0) -> None:
+        """Wait until all gateways are ready."""
         end = time.monotonic() + within
         while not all(self.ready(m) for m in self.edges):
             if time.monotonic() > end:
@@ -237,7 +246,8 @@
         ident, log = f"i-{number:08x}", self.folder / f"server-{number}.jsonl"
         child = self.spawn(
             [
-                sys.executable, str(REVIEW / "server.py"), "--ident", ident, "--service", service, "--zone", zone,
+                sys.executable, str(REVIEW / "server.py"), "--ident", ident, "--service", service,
+                "--zone", zone,
                 "--address", f"{self.ip(number, 3)}:{SERVER}", "--log", str(log),
                 "--control", ",".join(f"{h}:{p}" for h, p in self.control), *more,
             ],
@@ -246,6 +256,7 @@
         return child, ident, log
 
     def stop(self) -> None:
+        """End all processes that were started here."""
         for child in self.children:
             if child.poll() is None:
                 child.send_signal(signal.SIGCONT)
@@ -283,5 +294,7 @@
         signal.alarm(0)
         for deployment in holder:
             deployment.stop()
+            if code != 2:
+                shutil.rmtree(deployment.folder, ignore_errors=True)
     record(f"exit {code}: {('the rule held', 'the rule is broken', 'the case could not run')[code]}")
     return code
--- a/review/server.py
+++ b/review/server.py
@@ -1,8 +1,8 @@
 """A server stand-in: tells of itself by beats, runs requests, and writes down each event as a line of JSON.
 
 It begins work on a request once it has read the head, and reads the body while it works, at a pace of its own
-(--read-mb-per-s), as a service does that stores an upload as it comes in. A request meant for another instance
-gets 421 and is not run. With --answer-early it begins its answer before it has read the whole body.
+(--read-mb-per-s), as a service does that stores an upload as it comes in. A request meant for another
+instance gets 421 and is not run. With --answer-early it begins its answer before it has read the whole body.
 """
 
 from __future__ import annotations
@@ -19,19 +19,23 @@
 
 
 class Server:
+    """One life of a server."""
+
     def __init__(self, options: argparse.Namespace) -> None:
         self.options = options
         self.lock = threading.Lock()
-        self.log = Path(options.log).open("a")
+        self.log = Path(options.log).open("a")  # noqa: SIM115 - open as long as the process runs
         self.control = [(h, int(p)) for h, _, p in (a.rpartition(":") for a in options.control.split(","))]
         self.sequence = 0
 
     def write(self, event: str, **fields: object) -> None:
+        """Write down an event."""
         with self.lock:
             self.log.write(json.dumps({"t": time.monotonic(), "event": event, **fields}) + "\n")
             self.log.flush()
 
     def beat(self) -> None:
+        """Tell of this server until the process ends."""
         while True:
             self.sequence += 1
             o = self.options
@@ -53,6 +57,7 @@
             time.sleep(1.5 if acknowledged else 0.2)
 
     def serve(self) -> None:
+        """Take connections until the process ends."""
         threading.Thread(target=self.beat, daemon=True).start()
         host, _, port = self.options.address.rpartition(":")
         listener = socket.create_server((host, int(port)), backlog=128)
@@ -61,6 +66,7 @@
             threading.Thread(target=self.connected, args=(sock,), daemon=True).start()
 
     def connected(self, sock: socket.socket) -> None:
+        """Serve one connection."""
         try:
             with sock:
                 data = b""
@@ -70,6 +76,7 @@
             self.write("connection-ended", why=repr(error))
 
     def one_request(self, sock: socket.socket, data: bytes) -> bytes:
+        """Serve one request; what was read after it."""
         while b"\r\n\r\n" not in data:
             part = sock.recv(4096)
             if not part:
@@ -112,6 +119,7 @@
 
 
 def main() -> None:
+    """Run with the options of the command line."""
     parser = argparse.ArgumentParser()
     for name in ("ident", "service", "zone", "address", "log", "control"):
         parser.add_argument(f"--{name}", required=True)
