Let a member start again however often its starts were cut short

A control machine that was killed twice while it started refused its disk for good ("of start 3, but register.start records start 1: an older copy"); with two such machines orders, reads and all requests with keys got 503 (RECOVER, CONFIG). A start counts itself in the database and then in the start file; the check took a database that is ahead by more than one for an older copy, though an older copy is one that is behind. Now only a database behind its file is refused. The check comes before the start is counted, so no number of starts makes an older copy pass.

--- a/latchspoke/agent/raft_store.py
+++ b/latchspoke/agent/raft_store.py
@@ -2,6 +2,8 @@
 
 A start file beside the database records the number of the last start and is written after the database. A
 database that records fewer starts is an older copy that was restored, and is refused, as is a damaged one.
+A start that is cut short between the two writes leaves the database ahead, by one more start each time; the
+next complete start brings the file up to date.
 """
 
 from __future__ import annotations
@@ -110,8 +112,8 @@
             return self.read_state(started)
 
     def check_start(self, stored: StartRecord, recorded: StartRecord) -> None:
-        """Refuse an older copy: the start file may be one start behind the database, never ahead of it."""
-        if stored.identity != recorded.identity or stored.boot not in (recorded.boot, recorded.boot + 1):
+        """Raise RaftStoreError for an older copy: the start file is never ahead of its database."""
+        if stored.identity != recorded.identity or stored.boot < recorded.boot:
             raise RaftStoreError(
                 f"{self.path} is of start {stored.boot} of {stored.identity}, but {self.start_file.name}"
                 f" records start {recorded.boot} of {recorded.identity}: an older copy; remove this member"
