Let keys issue and renew be run again after they were cut short

Killed between key and certificate, 'keys renew NAME' refused the pair it should replace, and 'keys issue NAME' took the key alone for a certificate. renew now reads the certificate alone, issue asks for the certificate. An authority's key alone still stops 'keys init'. The new test failed for both commands before.

--- a/latchspoke/console/keys.py
+++ b/latchspoke/console/keys.py
@@ -78,7 +78,7 @@
 
 def issue(folder: KeyFolder, args: dict[str, Any]) -> None:
     name = args["NAME"]
-    if name == AUTHORITY or folder.has(name):
+    if name == AUTHORITY or folder.has_certificate(name):
         raise KeysError(f"{folder.path} has a certificate for {name} already; renew it")
     write_new(folder, args["ROLE"], name, args["--host"], args)
 
@@ -87,7 +87,7 @@
     name = args["NAME"]
     if name == AUTHORITY:
         raise KeysError("an authority is not renewed: make a new one, and issue anew")
-    old = keys.describe(folder.read(name).certificate)
+    old = keys.describe(folder.read_certificate(name))
     write_new(folder, old.role, old.name, old.hosts, args)
 
 
--- a/latchspoke/keys/files.py
+++ b/latchspoke/keys/files.py
@@ -8,6 +8,8 @@
 import tempfile
 from pathlib import Path
 
+from cryptography import x509
+
 from latchspoke.keys.authority import CertificateAndKey, KeysError, read_certificate, read_key
 
 GROUP_AND_OTHERS = stat.S_IRWXG | stat.S_IRWXO
@@ -76,11 +78,21 @@
             raise KeysError(f"can't create {self.path}: {e.strerror}") from None
 
     def has(self, name: str) -> bool:
-        return self.certificate(name).exists() or self.key(name).exists()
+        """Whether there is a certificate or a key."""
+        return self.has_certificate(name) or self.key(name).exists()
+
+    def has_certificate(self, name: str) -> bool:
+        """Whether there is a certificate; a key alone is what a write that was cut short has left."""
+        return self.certificate(name).exists()
 
     def read(self, name: str) -> CertificateAndKey:
         return read_pair(self.certificate(name), self.key(name))
 
+    def read_certificate(self, name: str) -> x509.Certificate:
+        """The certificate, whether or not its key is there. Raises KeysError."""
+        path = self.certificate(name)
+        return read_certificate(read_file(path), str(path))
+
     def write(self, name: str, pair: CertificateAndKey) -> None:
         """Write the key before the certificate, which can't be used without it."""
         write_atomically(self.key(name), pair.key_pem(), 0o600)
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -11,6 +11,7 @@
 import pytest
 
 from latchspoke.console import keys as command
+from latchspoke.keys import files
 from latchspoke.keys.authority import (
     DAY,
     KeysError,
@@ -95,6 +96,30 @@
     assert capsys.readouterr().err.count("\n") == 5
 
 
+@pytest.mark.parametrize("verb", ["issue", "renew"])
+def test_a_write_that_was_cut_short_can_be_run_again(
+    verb: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a key without its certificate that no command replaces."""
+    folder = str(tmp_path / "keys")
+    arguments = (folder, "agent", "h1", "--host", "127.0.0.1") if verb == "issue" else (folder, "h1")
+    assert run("init", folder) == 0
+    if verb == "renew":
+        assert run("issue", folder, "agent", "h1", "--host", "127.0.0.1") == 0
+    write = files.write_atomically
+
+    def write_keys_alone(path: Path, data: bytes, mode: int) -> None:
+        if path.suffix != ".key":
+            raise KeyboardInterrupt
+        write(path, data, mode)
+
+    with monkeypatch.context() as patched, pytest.raises(KeyboardInterrupt):
+        patched.setattr(files, "write_atomically", write_keys_alone)
+        run(verb, *arguments)
+    assert run(verb, *arguments) == 0
+    assert KeyFolder(folder).read("h1")
+
+
 def test_key_readable_by_others_is_refused(tmp_path: Path) -> None:
     folder = KeyFolder(tmp_path)
     folder.write("a", make_authority("a", NOW, DAY))
