Hold a body only as long as its request

Gateways with bodies of 4 MiB grew by 8 MiB with each connection until the platform killed them at 300 MB; the request in hand got no answer (Fault). Of the 8 MiB one half were parts that a resting connection kept until its next message, the other a cycle of references between a flow and its attempts, which lived until a cyclic collection. A body is now taken from its connection and its exchange, dropped with its flow, and a flow that is over lets go of its attempts. A request that is over is not written on a connection that comes up late, as its body is gone. Same class: the last response on resting server connections, partial bodies on connections that have ended (control port too), headers of resting clients, the gateway in service.

--- a/latchspoke/core.py
+++ b/latchspoke/core.py
@@ -327,8 +327,9 @@
         """Cancel one attempt."""
         flow = self.flows.get(request)
         if flow is not None and number < len(flow.attempts) and not flow.attempts[number].ended:
-            self.ports.drop(flow.attempts[number])
-            self.attempt_ended(flow.attempts[number], api.Code.CANCELLED, now)
+            attempt = flow.attempts[number]
+            self.ports.drop(attempt)
+            self.attempt_ended(attempt, api.Code.CANCELLED, now)
 
     def attempt_timed_out(self, attempt: Attempt, now: float) -> None:
         """End an attempt that has reached its deadline."""
@@ -363,8 +364,12 @@
         self.forget(flow)
 
     def forget(self, flow: Flow) -> None:
-        """Drop a flow that is closed and has no attempt in flight, whose outcome would need it."""
+        """Drop a flow that is closed and has no attempt in flight, whose outcome would need it.
+
+        Flow and attempts refer to each other; separated, the request's body is freed at once.
+        """
         if flow.closed and not flow.in_flight:
             if flow.timer is not None:
                 flow.timer.cancel()
+            flow.attempts.clear()
             self.flows.pop(flow.request.request, None)
--- a/latchspoke/dataplane/core.py
+++ b/latchspoke/dataplane/core.py
@@ -12,6 +12,7 @@
 from barleyhub import interface as api
 from barleyhub.line.dispatch import Dispatcher, NoCapacity, RoutedRequest
 from latchspoke.core import Attempt, Client, Core, DecisionLease, Flow, Ports
+from latchspoke.dataplane.messages import Request
 from latchspoke.reach.recorder import AttemptRecorder
 
 
@@ -42,6 +43,12 @@
         """Hand the flow to the dispatcher, which may answer it immediately."""
         self.submit(flow.request, now)
 
+    def close(self, flow: Flow) -> None:
+        """As ``Core.close``; nothing is sent for the flow any more, so its body is dropped."""
+        super().close(flow)
+        if isinstance(flow.message, Request):
+            flow.message.body = b""
+
     def lease_expired(self, flow: Flow) -> bool:
         """Whether the epoch that authorized the flow has expired; checked immediately before sending."""
         if (
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -15,7 +15,8 @@
 from latchspoke.core import DecisionLease
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.exchange import ClientExchange, status_line
-from latchspoke.dataplane.upstream import HOP_BY_HOP_HEADERS, Request
+from latchspoke.dataplane.messages import Request
+from latchspoke.dataplane.upstream import HOP_BY_HOP_HEADERS
 from latchspoke.net.http import (
     CONNECT_GRACE_S,
     Connection,
@@ -164,8 +165,10 @@
         self.keep_alive = self.parser.should_keep_alive()
         exchange = self.exchange = ClientExchange(
             self, self.context.stats, self.parser.get_method(), self.url, self.headers, self.header_pairs,
-            self.body, self.context.clock.now(),
+            self.take_body(), self.context.clock.now(),
         )  # fmt: skip
+        # The exchange alone holds the request, which ends with it; the connection may rest for long.
+        self.url, self.headers, self.header_pairs = b"", {}, []
         self.downstream.handle_request(exchange)
 
     # Responses.
@@ -359,7 +362,7 @@
         )
         head = [b"%b %b HTTP/1.1\r\n" % (exchange.method, exchange.url)]
         head += [b"%b: %b\r\n" % pair for pair in exchange.header_pairs if pair[0].lower() not in dropped]
-        return Request(exchange.method, attempt_id, b"".join(head), tenant, exchange.body)
+        return Request(exchange.method, attempt_id, b"".join(head), tenant, exchange.take_body())
 
     def sweep(self, now: float) -> None:
         """Close connections that stay idle or do not complete a request in time."""
--- a/latchspoke/dataplane/exchange.py
+++ b/latchspoke/dataplane/exchange.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from latchspoke.core import Flow
-from latchspoke.dataplane.upstream import Response
+from latchspoke.dataplane.messages import Response
 from latchspoke.net.http import REASON_PHRASES
 from latchspoke.net.stats import Stats
 from latchspoke.transport.log import log
@@ -68,6 +68,11 @@
         self.attempt_id = headers.get(b"x-attempt-id", b"")
         self.flow: Flow | None = None
 
+    def take_body(self) -> bytes:
+        """Return the body, which the exchange no longer holds afterwards."""
+        body, self.body = self.body, b""
+        return body
+
     # Responses from the core.
 
     def served(self, response: object) -> None:
--- a/latchspoke/dataplane/session_affinity.py
+++ b/latchspoke/dataplane/session_affinity.py
@@ -23,7 +23,7 @@
 from latchspoke.configuration.routes import Affinity, Route, SharedRecordSettings
 from latchspoke.core import Attempt, DecisionLease, Flow, Timer
 from latchspoke.dataplane.exchange import ClientExchange
-from latchspoke.dataplane.upstream import Request, Response
+from latchspoke.dataplane.messages import Request, Response
 from latchspoke.membership.messages import Member
 from latchspoke.session_records.coordinator import (
     AttemptPermit,
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -17,6 +17,7 @@
 from barleyhub.line.balancer import Balancer, Upstream
 from latchspoke.core import Attempt
 from latchspoke.dataplane.core import DataPlaneCore
+from latchspoke.dataplane.messages import Request, Response
 from latchspoke.net.http import (
     Connection,
     ConnectionContext,
@@ -51,35 +52,6 @@
 EMPTY_REPORT: dict[str, float] = {}
 
 
-class Response:
-    """A complete server response as passed on: status, end-to-end headers and body.
-
-    ``attempt_id`` is the ``X-Attempt-Id`` that the server has put into it.
-    """
-
-    __slots__ = ("attempt_id", "body", "headers", "status")
-
-    def __init__(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes, attempt_id: bytes
-    ) -> None:
-        self.status, self.headers, self.body, self.attempt_id = status, headers, body, attempt_id
-
-
-class Request:
-    """The part of a client request that is forwarded: everything except hop-by-hop and replaced headers."""
-
-    __slots__ = ("attempt_id", "body", "head", "method", "tenant")
-
-    def __init__(self, method: bytes, attempt_id: bytes, head: bytes, tenant: bytes, body: bytes) -> None:
-        self.method, self.attempt_id, self.head, self.tenant, self.body = (
-            method,
-            attempt_id,
-            head,
-            tenant,
-            body,
-        )
-
-
 class ServerConnection(Connection):
     """A connection to a server, carrying one forward at a time."""
 
@@ -168,6 +140,7 @@
     def on_message_complete(self) -> None:
         """Validate the response and determine the result of the forward."""
         self.message_started = False
+        body = self.take_body()
         status = self.parser.get_status_code()
         if status < 200 or self.result is not None:
             return
@@ -189,7 +162,7 @@
         self.keep_alive = self.keep_alive and self.parser.should_keep_alive()
         if keep_alive := headers.get(b"keep-alive"):
             self.read_keep_alive(keep_alive)
-        body, pairs = self.body, self.header_pairs
+        pairs = self.header_pairs
         connection_header = headers.get(b"connection", b"").lower()
         if connection_header not in PLAIN_CONNECTION_VALUES:
             hop_by_hop = {token.strip() for token in connection_header.split(b",")}
@@ -225,6 +198,7 @@
         forward, result = self.forward, self.result
         assert forward is not None and result is not None
         self.forward = self.result = forward.connection = None
+        self.headers, self.header_pairs = {}, []
         if fault or not self.keep_alive:
             self.end(fault or "asked_close")
         else:
@@ -367,7 +341,8 @@
         assert forward is not None and connection.transport is not None
         upstream = connection.pool.upstream
         gone = bool(upstream.state) or upstream.zone in self.balancer.evacuated
-        if gone or self.core.lease_expired(forward.flow) or forward.deadline <= now:
+        unwanted = forward.flow.closed or forward.deadline <= now
+        if gone or unwanted or self.core.lease_expired(forward.flow):
             connection.forward = forward.connection = None
             if gone:
                 connection.end("server_gone")
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -18,7 +18,14 @@
 from latchspoke.configstore.config_state import ConfigState
 from latchspoke.configuration.routes import Route
 from latchspoke.controlplane import node as controlplane
-from latchspoke.dataplane import downstream, exchange, relay, session_affinity, subscription, upstream
+from latchspoke.dataplane import (
+    downstream,
+    exchange,
+    messages,
+    relay,
+    session_affinity,
+    subscription,
+)
 from latchspoke.dataplane import node as dataplane
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.distribution.published_state import Lease
@@ -141,7 +148,7 @@
 def corrupt_body(old: Any) -> Any:
     def write(self: Any, answer: Any) -> None:
         old(
-            self, upstream.Response(answer.status, answer.headers, answer.body[:-1] + b"?", answer.attempt_id)
+            self, messages.Response(answer.status, answer.headers, answer.body[:-1] + b"?", answer.attempt_id)
         )
 
     return write
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -98,8 +98,9 @@
         self.message_count += 1
         status, total = self.parser.get_status_code(), 0.0
         code = api.Code.FULL if status == 503 else api.Code.UNREACHABLE
+        body = self.take_body()
         if status == 200:
-            number = read_decimal(self.body.strip())
+            number = read_decimal(body.strip())
             if number is None:
                 # The amount was added, but neither the total nor what follows on this connection is usable.
                 self.channel.complete_call(call, api.Code.TIMEOUT)
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -298,9 +298,10 @@
             raise FramingError(413, "oversize")
         self.parts.append(part)
 
-    @property
-    def body(self) -> bytes:
-        return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
+    def take_body(self) -> bytes:
+        """Return the body received so far, which the connection no longer holds afterwards."""
+        parts, self.parts = self.parts, []
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
     # Callbacks of the transport.
 
@@ -317,6 +318,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.parts = []  # the parser refers to the connection, so that both may live on for a while
         self.close_code = self.close_code or ("peer_reset" if exc else "peer_closed")
         self.record_end()
 
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -332,7 +332,7 @@
         if path.startswith(b"/-/"):
             self.respond_to_probe(path)
             return
-        self.start_request(method, self.body, None)
+        self.start_request(method, self.take_body(), None)
 
     def start_request(self, method: bytes, body: bytes, upload: Upload | None) -> None:
         if method not in METHODS:
--- a/latchspoke/net/rules.py
+++ b/latchspoke/net/rules.py
@@ -94,7 +94,8 @@
         self.body += part
 
     def on_message_complete(self) -> None:
-        self.on_answer(self.parser.get_status_code(), self.body)
+        body, self.body = self.body, b""
+        self.on_answer(self.parser.get_status_code(), body)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -65,7 +65,7 @@
         super().__init__(target_group.context)
         self.target_group, self.target = target_group, target
         self.attempt: Attempt | None = attempt
-        self.completed_response: tuple[api.Code, UpstreamResponse | None, dict[str, float]] | None = None
+        self.completed_response: tuple[api.Code, dict[str, float]] | None = None  # with the load report
         self.stall_timer: Timer | None = None
         self.last_received_at = 0.0
         self.receiver: ResponseReceiver | None = None  # while the response is being streamed
@@ -164,14 +164,15 @@
             return
         self.receiver = receiver
         load = self.headers.get(b"srv-load")
-        response = UpstreamResponse(self.body, self.headers.get(b"content-type", b""), self, self.length)
-        self.parts = []
+        response = UpstreamResponse(
+            self.take_body(), self.headers.get(b"content-type", b""), self, self.length
+        )
         self.target_group.core.attempt_ended(
             attempt, api.Code.OK, now, response, parse_load_report(load) if load else EMPTY_REPORT
         )
 
     def forward_received(self, fault: str) -> None:
-        receiver, body, self.parts = self.receiver, self.body, []
+        receiver, body = self.receiver, self.take_body()
         assert receiver is not None
         if body:
             receiver.stream_part(body)
@@ -271,16 +272,16 @@
             code = api.Code.ERROR
         load = headers.get(b"srv-load")
         report = parse_load_report(load) if load else EMPTY_REPORT
-        response = (
-            UpstreamResponse(self.body, headers.get(b"content-type", b"")) if code is api.Code.OK else None
-        )
-        self.completed_response = code, response, report
+        self.completed_response = code, report
         self.keep_alive = self.parser.should_keep_alive()
 
     def deliver_response(self, fault: str) -> None:
         """Return the connection to the pool, then report the outcome, which may start another attempt."""
         attempt, completed = self.attempt, self.completed_response
         assert attempt is not None and completed is not None
+        code, report = completed
+        body, content_type = self.take_body(), self.headers.get(b"content-type", b"")
+        response = UpstreamResponse(body, content_type) if code is api.Code.OK else None
         self.detach_upload()
         self.attempt = self.completed_response = attempt.connection = None
         self.cancel_stall_timer()
@@ -288,7 +289,6 @@
             self.end(fault or "asked_close")
         else:
             self.target_group.keep_idle(self)
-        code, response, report = completed
         now = self.context.clock.now()
         if code is api.Code.CANCELLED:
             self.target_group.core.request_rejected(attempt, now)
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -177,7 +177,8 @@
             self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the idle timer."""
+        """Stop the idle timer, and drop what has been received."""
         self.transport = None
+        self.body_parts = []
         if self.idle_timer is not None:
             self.idle_timer.cancel()
--- a/tests/dataplane/test_client_exchange.py
+++ b/tests/dataplane/test_client_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from latchspoke.dataplane.exchange import ClientExchange
-from latchspoke.dataplane.upstream import Response
+from latchspoke.dataplane.messages import Response
 from latchspoke.net.stats import Stats
 
 
