Ask for keys while the configuration has tenants, though none are left

After the last tenant was removed, every gateway ran requests under the removed keys and under keys that no configuration had held, on routes that are not keyless (CONFIG, ROUTE): the compiled table took an empty list of tenants for a missing one. Now the list's presence decides. Same class: a patch left out an empty list that was new, so that gateways would differ; and where a configuration has no tenants at all, a request that carries a key, removed with the list or never held, gets 401 (503 without a recent proof) unless the route is keyless. explain says the same.

--- a/latchspoke/configuration/patch.py
+++ b/latchspoke/configuration/patch.py
@@ -94,6 +94,8 @@
         new_items = cast(Fields, new).get(field) or ()
         if changed := [item for item in new_items if old_items.get(item["name"]) != item]:
             upsert[field] = changed
+        elif _is_new_empty_list(old, new, field):
+            upsert[field] = []
         new_names = {item["name"] for item in new_items}
         if removed_names := [name for name in old_items if name not in new_names]:
             remove["services" if field == "clusterList" else field] = removed_names
@@ -112,6 +114,11 @@
     return cast(Patch, patch)
 
 
+def _is_new_empty_list(old: Document, new: Document, field: str) -> bool:
+    """Whether ``new`` has this list, without items, and ``old`` does not have it at all."""
+    return cast(Fields, old).get(field) is None and cast(Fields, new).get(field) == []
+
+
 def _merge_listeners(old: Iterable[Any], upserts: object, removed_rules: set[str]) -> list[Fields]:
     """The listeners after the upserts, without the removed rules."""
     hosts_by_rule: dict[str, str] = {}  # target host of each upserted rule
@@ -186,6 +193,7 @@
         if key not in ("listenerList", "clusterList", "tenants", "limits")
     }
     return (
+        fields.get("tenants") is None,  # without the list, requests need no keys
         _rules_by_name(doc),
         _extra_fields_by_host(doc),
         by_prefix,
--- a/latchspoke/configuration/routes.py
+++ b/latchspoke/configuration/routes.py
@@ -149,7 +149,10 @@
 
 
 class Table(msgspec.Struct, frozen=True):
-    """One compiled configuration version. If ``keyed``, requests need a key unless the route is keyless."""
+    """One compiled configuration version. If ``keyed``, requests need a key unless the route is keyless.
+
+    A configuration with ``tenants`` is keyed even if the list is empty, as after the removal of the last one.
+    """
 
     version: int
     hosts: dict[bytes, _HostRoutes]
@@ -191,9 +194,9 @@
         host_routes.partial_prefixes = sorted(
             (prefix for prefix in host_routes.prefixes if not prefix.endswith(b"/")), key=len, reverse=True
         )
-    tenant_documents = doc.get("tenants") or []
+    tenant_documents = doc.get("tenants")
     tenants: dict[str, Tenant] = {}
-    for tenant_document in tenant_documents:
+    for tenant_document in tenant_documents or ():
         priority = tenant_document.get("priority")
         tenant = Tenant(
             tenant_document["name"],
@@ -211,7 +214,7 @@
         services=_services(doc),
         tenants=tenants,
         limits=_limits(doc),
-        keyed=bool(tenant_documents),
+        keyed=tenant_documents is not None,
     )
 
 
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 import httptools
@@ -50,6 +50,14 @@
 AUTH_SCHEME = b"token "
 
 
+def read_key(headers: Mapping[bytes, bytes]) -> str:
+    """The API key that a request presents; empty without one."""
+    value = headers.get(b"authorization", b"")
+    if value[: len(AUTH_SCHEME)].lower() != AUTH_SCHEME:
+        return ""
+    return value[len(AUTH_SCHEME) :].strip().decode("latin-1")
+
+
 class ClientConnection(Connection):
     """One client connection, serving one request at a time."""
 
@@ -260,17 +268,17 @@
             self.deny(exchange, 404, "no_route")
             return
         tenant, epoch = None, None
-        if table.keyed and not route.keyless:
+        key = read_key(headers)
+        if not route.keyless and (table.keyed or key):
             epoch = self.current_epoch()
             if epoch is None:
                 # Keys may have been revoked; they are not accepted without a valid lease.
                 self.context.stats["refused.no_right"] += 1
                 self.reject_request(exchange, 503, "no_right", route.name, NO_LEASE_RETRY_AFTER_S)
                 return
-            key = headers.get(b"authorization", b"")
-            if key[: len(AUTH_SCHEME)].lower() == AUTH_SCHEME:
-                tenant = table.tenant(key[len(AUTH_SCHEME) :].strip().decode("latin-1"))
+            tenant = table.tenant(key)
             if tenant is None:
+                # Also without ``tenants``: the key may have been revoked, and no configuration holds it now.
                 self.deny(exchange, 401, "no_key", route.name)
                 return
         caller, service = None, ""
--- a/latchspoke/dataplane/explain.py
+++ b/latchspoke/dataplane/explain.py
@@ -77,7 +77,7 @@
         return result | explain_no_route(table, request)
     result["route"] = explain_route(route, table, request)
     tenant: Tenant | None = None
-    if table.keyed and not route.keyless:
+    if not route.keyless and (table.keyed or request.key):
         tenant = table.tenant(request.key) if request.key else tenant_by_name(table, request.tenant)
         if tenant is None:
             what = (
--- a/tests/configuration/test_patch.py
+++ b/tests/configuration/test_patch.py
@@ -117,6 +117,36 @@
     assert patch_count > 50
 
 
+TENANT_LISTS: list[dict[str, Any]] = [
+    {}, {"tenants": None}, {"tenants": []}, {"tenants": [{"name": "t", "apiKeys": ["k"]}]},
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("after", TENANT_LISTS, ids=str)
+@pytest.mark.parametrize("before", TENANT_LISTS, ids=str)
+def test_patches_tell_an_empty_list_of_tenants_from_none(
+    before: dict[str, Any], after: dict[str, Any]
+) -> None:
+    """Guards against gateways that need no keys, while others do, as a patch left out the empty list."""
+    old, new = ({**sample_document(), "tenants": None} | fields for fields in (before, after))
+    new["version"] = "00000008"
+    patch = diff(cast(Document, old), cast(Document, new))
+    applied = apply_patch(cast(Document, old), patch) if patch is not None else cast(Document, new)
+    table = compile_table(applied)
+    assert table.keyed == (new["tenants"] is not None)
+    assert set(table.tenants) == {"k" for _ in new["tenants"] or ()}
+
+
+def test_routes_stay_closed_when_the_last_tenant_is_removed() -> None:
+    """Guards against keys that were revoked, and unknown ones, that work again after the last removal."""
+    doc = cast(Document, sample_document())
+    for version, name in ((8, "sese880"), (9, "t2")):
+        doc = apply_patch(doc, {"version": f"{version:08x}", "remove": {"tenants": [name]}})
+    assert not check(doc) and doc["tenants"] == []
+    table = compile_table(doc)
+    assert table.keyed and not table.tenants
+
+
 def test_a_patch_is_small_or_none() -> None:
     old, new = cast(Document, sample_document()), sample_document()
     new["version"] = "00000008"
--- a/tests/ctl/test_views.py
+++ b/tests/ctl/test_views.py
@@ -106,6 +106,15 @@
     )
 
 
+def test_a_key_is_refused_without_any_tenant() -> None:
+    """Guards against an explanation that lets in a key that the gateway refuses."""
+    for tenants, outcome in (([], "401"), (None, "forwarded")):
+        table = compile_table(CONFIGURATION | {"tenants": tenants})  # type: ignore[arg-type]
+        assert explain(table, ExplainRequest("a.example", "/read/1"), 0.0)["outcome"] == outcome
+        result = explain(table, ExplainRequest("a.example", "/read/1", key="unknown"), 0.0)
+        assert result["outcome"] == "401", result
+
+
 def test_control_plane_status_metrics_and_history(tmp_path: Path) -> None:
     loop = asyncio.new_event_loop()
     node = control_node(loop, tmp_path)
