Count large bodies against the memory limit, and let them wait for room

A body of 16 KiB or more is counted by its announced length, and held once, without copies, until nothing refers to it, send buffers included. Requests and responses may each hold a quarter of memoryMb. Beyond that the connection is not read: a request waits 0.5 s and is refused with 503 (no_memory), a response waits until its deadline. A client that takes nothing of a large response for idleTimeoutS is dropped. Shown in status and metrics.

--- /dev/null
+++ b/latchspoke/dataplane/body_memory.py
@@ -0,0 +1,178 @@
+"""Memory for large bodies: they are received while there is room for them, and wait in order otherwise.
+
+Small bodies are not counted; their number is bounded by that of the connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+from latchspoke.net.clock import Clock
+from latchspoke.net.http import Connection, ConnectionContext, FramingError
+
+MIN_COUNTED_BYTES = 16 * 1024  # a smaller body is not counted
+MEMORY_FRACTION = 0.25  # of the memory limit of the process: for requests, and as much for responses
+MIN_LIMIT_BYTES = 1024 * 1024
+NO_MEMORY = "no_memory"  # reason code of a refusal
+
+
+class LargeBody(bytearray):
+    """A body that counts as held until the last reference to it is gone, such as that of a send buffer."""
+
+    __slots__ = ("counted_bytes", "memory")
+
+    def __init__(self, memory: BodyMemory, counted_bytes: int) -> None:
+        super().__init__()
+        self.memory, self.counted_bytes = memory, counted_bytes
+
+    def __del__(self) -> None:
+        self.memory.release(self.counted_bytes)
+
+
+Body = bytes | LargeBody
+
+
+class BodyMemory:
+    """Counts the bytes of large bodies against a limit; a single body is always admitted."""
+
+    def __init__(self, limit_bytes: int, clock: Clock) -> None:
+        self.limit_bytes, self.clock = max(limit_bytes, MIN_LIMIT_BYTES), clock
+        self.held_bytes = 0
+        self.waiting: dict[BodyConnection, int] = {}  # with the size (bytes), in order of arrival
+        self.grant_scheduled = False
+
+    def has_room(self, size: int) -> bool:
+        """Whether a body of this size (bytes) may be received now."""
+        return not self.held_bytes or self.held_bytes + size <= self.limit_bytes
+
+    def reserve(self, size: int) -> LargeBody | None:
+        """An empty body that counts as ``size`` bytes; None without room, or if others wait."""
+        if self.waiting or not self.has_room(size):
+            return None
+        return self.count(size)
+
+    def count(self, size: int) -> LargeBody:
+        """As ``reserve``, but without regard to the limit."""
+        self.held_bytes += size
+        return LargeBody(self, size)
+
+    def grow(self, body: LargeBody, size: int) -> None:
+        """Count ``size`` more bytes for a body, without regard to the limit."""
+        body.counted_bytes += size
+        self.held_bytes += size
+
+    def release(self, size: int) -> None:
+        """Bytes are no longer held. Waiting connections are told later: this may be called anywhere."""
+        self.held_bytes -= size
+        if self.waiting and not self.grant_scheduled:
+            self.grant_scheduled = True
+            self.clock.schedule(self.clock.now(), self.grant)
+
+    def view(self) -> dict[str, int]:
+        """The state as shown to operators, in bytes."""
+        return {"held": self.held_bytes, "limit": self.limit_bytes, "waiting": len(self.waiting)}
+
+    def grant(self, now: float) -> None:
+        """Admit waiting bodies in order, as far as there is room."""
+        self.grant_scheduled = False
+        while self.waiting:
+            connection, size = next(iter(self.waiting.items()))
+            if not self.has_room(size):
+                return
+            del self.waiting[connection]
+            connection.memory_granted(self.count(size))
+
+
+class BodyConnection(Connection):
+    """A connection whose large bodies are counted; it is not read while a body waits for memory."""
+
+    # Whether a body of unknown size is refused when there is no more room for it.
+    refuses_without_room = False
+
+    def __init__(self, context: ConnectionContext, memory: BodyMemory) -> None:
+        self.memory = memory
+        self.large_body: LargeBody | None = None
+        super().__init__(context)
+
+    @property
+    def waits_for_memory(self) -> bool:
+        """Whether the rest of the current body is not read for lack of memory."""
+        return self in self.memory.waiting
+
+    def reset_message_state(self) -> None:
+        """As ``Connection.reset_message_state``; also drops a large body."""
+        super().reset_message_state()
+        self.large_body = None
+
+    def announce_body(self, size: int) -> None:
+        """A body of this size (bytes) follows: reserve memory, or stop reading until there is some."""
+        if size < MIN_COUNTED_BYTES:
+            return
+        self.large_body = self.memory.reserve(size)
+        if self.large_body is None:
+            self.memory.waiting[self] = size
+            self.context.stats["bodies.waited"] += 1
+            self.set_reading(False)
+
+    def memory_granted(self, body: LargeBody) -> None:
+        """Go on with a body that has waited."""
+        body += self.take_body()
+        self.large_body = body
+        self.set_reading(True)
+
+    def stop_waiting(self) -> None:
+        """Read on without memory for the current body."""
+        if self.memory.waiting.pop(self, None) is not None:
+            self.set_reading(True)
+
+    def set_reading(self, reading: bool) -> None:
+        """Resume or pause reading, unless the connection is closing."""
+        transport = cast(asyncio.Transport, self.transport)
+        if transport is None or self.lost or transport.is_closing():
+            return
+        if reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
+    def store_part(self, part: bytes) -> None:
+        """Keep a part of the body. Raises FramingError if there is no room for a body of unknown size."""
+        body = self.large_body
+        if body is None:
+            self.parts.append(part)
+            if self.received_bytes >= MIN_COUNTED_BYTES and not self.waits_for_memory:
+                self.large_body = self.count_received(self.memory.count(0))
+            return
+        body += part
+        if len(body) > body.counted_bytes:
+            self.grow(body, len(body) - body.counted_bytes)
+
+    def grow(self, body: LargeBody, size: int) -> None:
+        """Count ``size`` more bytes. Raises FramingError if there is no room for them."""
+        if self.refuses_without_room and not self.memory.has_room(size):
+            raise FramingError(503, NO_MEMORY)
+        self.memory.grow(body, size)
+
+    def count_received(self, body: LargeBody) -> LargeBody:
+        """Move the received parts to ``body`` and count them. Raises FramingError as ``grow``."""
+        self.grow(body, self.received_bytes)
+        body += b"".join(self.parts)
+        self.parts = []
+        return body
+
+    def take_counted_body(self) -> Body:
+        """As ``take_body``; a body that still waits for memory is complete, and counted now."""
+        if self.waits_for_memory:
+            self.stop_waiting()
+            self.large_body = self.count_received(self.memory.count(0))
+        if self.large_body is None:
+            return self.take_body()
+        body, self.large_body = self.large_body, None
+        return body
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """As ``Connection.connection_lost``; also drops what was received of a large body."""
+        self.memory.waiting.pop(self, None)
+        self.large_body = None
+        super().connection_lost(exc)
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -13,13 +13,13 @@
 from barleyhub.line.dispatch import RoutedRequest
 from latchspoke.configuration.routes import Limits, Route, Table
 from latchspoke.core import DecisionLease
+from latchspoke.dataplane.body_memory import NO_MEMORY, Body, BodyConnection, BodyMemory, LargeBody
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.exchange import ClientExchange, status_line
 from latchspoke.dataplane.messages import Request
 from latchspoke.dataplane.upstream import HOP_BY_HOP_HEADERS
 from latchspoke.net.http import (
     CONNECT_GRACE_S,
-    Connection,
     ConnectionContext,
     FramingError,
     ParserError,
@@ -35,6 +35,8 @@
 MAX_HELD_REQUESTS = 500
 NOT_READY_RETRY_AFTER_S = 0.2
 NO_LEASE_RETRY_AFTER_S = 0.4
+NO_MEMORY_RETRY_AFTER_S = 0.3
+MEMORY_WAIT_S = 0.5  # how long a large request waits for memory before it is refused
 MAX_DEADLINE_S = 86_400.0
 # Headers that are replaced or never forwarded to a server.
 REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {
@@ -58,19 +60,21 @@
     return value[len(AUTH_SCHEME) :].strip().decode("latin-1")
 
 
-class ClientConnection(Connection):
+class ClientConnection(BodyConnection):
     """One client connection, serving one request at a time."""
 
     side = "client"
+    refuses_without_room = True
 
     def __init__(self, downstream: Downstream) -> None:
-        super().__init__(downstream.context)
+        super().__init__(downstream.context, downstream.body_memory)
         self.downstream = downstream
         self.exchange: ClientExchange | None = None  # the received request that is not yet answered
         self.fault: FramingError | None = None
         self.ending = False
         self.keep_alive = True
         self.waiting_since = self.opened_at  # when the current wait (idle, or for more input) began
+        self.unsent_bytes, self.unsent_since = 0, 0.0  # of a large response, and when this last changed
         self.url = b""
         self.header_pairs: list[tuple[bytes, bytes]] = []
         self.parser = httptools.HttpRequestParser(self)
@@ -115,9 +119,9 @@
         self.close_code = self.close_code or "bad_request"
         self.context.stats[f"clients.{fault.status}"] += 1
         if fault.status:
-            self.transport.write(
-                status_line(fault.status) + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-            )
+            retry_header = b"Retry-After: %.3f\r\n" % NO_MEMORY_RETRY_AFTER_S if fault.status == 503 else b""
+            end = b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            self.transport.write(status_line(fault.status) + retry_header + end)
         self.transport.write_eof()
         clock = self.context.clock
         clock.schedule(clock.now() + LINGER_S, lambda now: self.end("linger", flush=True))
@@ -153,31 +157,59 @@
         super().on_headers_complete()
         self.waiting_since = self.context.clock.now()
         length = self.headers.get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self.downstream.limits.body_bytes:
+        size = int(length) if length.isdigit() else 0
+        if size > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
+        self.announce_body(size)
+        if self.waits_for_memory:
+            clock, request = self.context.clock, self.headers
+            clock.schedule(clock.now() + MEMORY_WAIT_S, lambda now: self.memory_wait_expired(request))
+        else:
+            self.write_continue()
+
+    def write_continue(self) -> None:
+        """Answer ``Expect: 100-continue``."""
         if self.headers.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def memory_granted(self, body: LargeBody) -> None:
+        """As ``BodyConnection.memory_granted``; the client may wait to be asked for the body."""
+        super().memory_granted(body)
+        self.waiting_since = self.context.clock.now()
+        self.write_continue()
+
+    def memory_wait_expired(self, request: dict[bytes, bytes]) -> None:
+        """Refuse a body that still waits; ``request`` is the header that announced it."""
+        if self.waits_for_memory and self.headers is request:
+            self.stop_waiting()
+            self.downstream.record_refusal(NO_MEMORY)
+            self.reject(FramingError(503, NO_MEMORY))
+
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit."""
         self.received_bytes += len(part)
         if self.received_bytes > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
         self.waiting_since = self.context.clock.now()
-        self.parts.append(part)
+        self.store_part(part)
 
     def on_message_complete(self) -> None:
         """Start processing the request."""
         self.message_started = False
         self.message_count += 1
         self.keep_alive = self.parser.should_keep_alive()
+        refused = self.waits_for_memory
+        self.stop_waiting()
         exchange = self.exchange = ClientExchange(
             self, self.context.stats, self.parser.get_method(), self.url, self.headers, self.header_pairs,
-            self.take_body(), self.context.clock.now(),
+            self.take_counted_body(), self.context.clock.now(),
         )  # fmt: skip
         # The exchange alone holds the request, which ends with it; the connection may rest for long.
         self.url, self.headers, self.header_pairs = b"", {}, []
-        self.downstream.handle_request(exchange)
+        if refused:
+            self.downstream.reject_request(exchange, 503, NO_MEMORY, retry_after=NO_MEMORY_RETRY_AFTER_S)
+        else:
+            self.downstream.handle_request(exchange)
 
     # Responses.
 
@@ -186,17 +218,33 @@
         """Whether the connection closes after the current response."""
         return not self.keep_alive or self.downstream.stopping or self.fault is not None
 
-    def write_response(self, exchange: ClientExchange, data: bytes) -> bool:
-        """Write the response if ``exchange`` is the request being served."""
+    def write_response(self, exchange: ClientExchange, data: bytes, body: Body = b"") -> bool:
+        """Write the response if ``exchange`` is the request being served. ``body``: what follows ``data``."""
         if exchange is not self.exchange:
             return False
         self.exchange = None
         self.waiting_since = self.context.clock.now()
         if self.transport is not None and not self.lost and not self.transport.is_closing():
-            self.transport.write(data)
+            if body:
+                self.transport.writelines((data, body))
+                self.unsent_bytes = self.transport.get_write_buffer_size()
+                self.unsent_since = self.waiting_since
+            else:
+                self.transport.write(data)
             self.after_response()
         return True
 
+    def end_if_stuck(self, now: float) -> None:
+        """Close the connection if nothing of a large response has been sent for the idle timeout."""
+        if not self.unsent_bytes or self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self.unsent_bytes:
+            self.unsent_bytes, self.unsent_since = unsent_bytes, now
+        elif now - self.unsent_since > self.downstream.limits.idle_s:
+            self.unsent_bytes = 0
+            self.end("stuck")
+
     def after_response(self) -> None:
         """Wait for the next request, or close."""
         if self.fault is not None:
@@ -227,8 +275,10 @@
         core: DataPlaneCore,
         rng: random.Random,
         current_epoch: Callable[[], DecisionLease | None],
+        body_memory: BodyMemory,
     ) -> None:
         """``current_epoch``: the epoch under which tenant keys may be used now, or None."""
+        self.body_memory = body_memory
         self.context, self.core, self.rng, self.current_epoch = context, core, rng, current_epoch
         self.clients: dict[ClientConnection, None] = {}  # in order of arrival
         self.table: Table | None = None
@@ -347,9 +397,13 @@
         retry_after: float | None = None,
     ) -> None:
         """Answer without involving the dispatcher; ``reason`` is a reason code for operators."""
-        self.core.dispatcher.refusals.append((self.context.clock.now(), reason, route, ""))
+        self.record_refusal(reason, route)
         exchange.write_empty_response(status, retry_after)
 
+    def record_refusal(self, reason: str, route: str = "") -> None:
+        """Keep a reason code for operators."""
+        self.core.dispatcher.refusals.append((self.context.clock.now(), reason, route, ""))
+
     def find_caller(self, exchange: ClientExchange, route: Route, tenant: str) -> tuple[Caller | None, str]:
         """The caller a request belongs to, on a route with affinity, and the service it is bound to."""
         from barleyhub.affinity.rendezvous import Caller, caller_key, choose_service
@@ -376,6 +430,7 @@
         """Close connections that stay idle or do not complete a request in time."""
         limits = self.limits
         for client in list(self.clients):
+            client.end_if_stuck(now)
             if client.busy or client.ending:
                 continue
             if client.message_started:
--- a/latchspoke/dataplane/exchange.py
+++ b/latchspoke/dataplane/exchange.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from latchspoke.core import Flow
+from latchspoke.dataplane.body_memory import Body, LargeBody
 from latchspoke.dataplane.messages import Response
 from latchspoke.net.http import REASON_PHRASES
 from latchspoke.net.stats import Stats
@@ -28,8 +29,11 @@
         """Whether the connection closes after the current response."""
         ...
 
-    def write_response(self, exchange: ClientExchange, data: bytes) -> bool:
-        """Write the response of ``exchange``; False if the connection is not serving it (any more)."""
+    def write_response(self, exchange: ClientExchange, data: bytes, body: Body = b"") -> bool:
+        """Write the response of ``exchange``; False if the connection is not serving it (any more).
+
+        ``body`` is written after ``data``, without a copy.
+        """
         ...
 
 
@@ -49,7 +53,7 @@
         url: bytes,
         headers: dict[bytes, bytes],
         header_pairs: list[tuple[bytes, bytes]],
-        body: bytes,
+        body: Body,
         received_at: float,
     ) -> None:
         """``headers`` by lower-case name, ``header_pairs`` as received.
@@ -68,7 +72,7 @@
         self.attempt_id = headers.get(b"x-attempt-id", b"")
         self.flow: Flow | None = None
 
-    def take_body(self) -> bytes:
+    def take_body(self) -> Body:
         """Return the body, which the exchange no longer holds afterwards."""
         body, self.body = self.body, b""
         return body
@@ -120,6 +124,9 @@
         if response.status not in BODILESS_STATUSES:
             head.append(b"Content-Length: %d\r\n" % len(response.body))
         head.append(b"\r\n")
+        if isinstance(response.body, LargeBody):
+            self.deliver(b"".join(head), response.body)
+            return
         head.append(response.body)
         self.deliver(b"".join(head))
 
@@ -132,10 +139,10 @@
         )  # fmt: skip
         self.write_empty_response(502)
 
-    def deliver(self, data: bytes) -> None:
+    def deliver(self, data: bytes, body: Body = b"") -> None:
         """Hand the bytes to the connection, which drops them if this request is no longer being served."""
         self.flow = None
-        if not self.connection.write_response(self, data):
+        if not self.connection.write_response(self, data, body):
             self.stats["answers.unowned"] += 1
 
 
--- a/latchspoke/dataplane/messages.py
+++ b/latchspoke/dataplane/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from latchspoke.dataplane.body_memory import Body
+
 
 class Response:
     """A complete server response as passed on: status, end-to-end headers and body.
@@ -12,7 +14,7 @@
     __slots__ = ("attempt_id", "body", "headers", "status")
 
     def __init__(
-        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes, attempt_id: bytes
+        self, status: int, headers: list[tuple[bytes, bytes]], body: Body, attempt_id: bytes
     ) -> None:
         self.status, self.headers, self.body, self.attempt_id = status, headers, body, attempt_id
 
@@ -22,6 +24,6 @@
 
     __slots__ = ("attempt_id", "body", "head", "method", "tenant")
 
-    def __init__(self, method: bytes, attempt_id: bytes, head: bytes, tenant: bytes, body: bytes) -> None:
+    def __init__(self, method: bytes, attempt_id: bytes, head: bytes, tenant: bytes, body: Body) -> None:
         self.method, self.attempt_id, self.head = method, attempt_id, head
         self.tenant, self.body = tenant, body
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -13,6 +13,7 @@
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.configuration.routes import Table, compile_table
 from latchspoke.core import Attempt, DecisionLease
+from latchspoke.dataplane.body_memory import MEMORY_FRACTION, BodyMemory
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.downstream import ClientConnection, Downstream
 from latchspoke.dataplane.relay import Relay
@@ -116,13 +117,18 @@
         self.dispatcher = Dispatcher(
             self.balancer, self.rng, bound("retryRatio", 0.1), bound("retrySlack", 10.0), self.stats
         )
-        self.upstream_pools = UpstreamPools(self.context, self.balancer, 64 * 1024 * 1024)
+        body_limit_bytes = int(settings.memory_mb * 1024 * 1024 * MEMORY_FRACTION)
+        self.upstream_pools = UpstreamPools(
+            self.context, self.balancer, 64 * 1024 * 1024, BodyMemory(body_limit_bytes, self.clock)
+        )
         self.ports = Ports(self.upstream_pools, self.clock)
         self.core = DataPlaneCore(self.dispatcher, self.ports, self.stats)
         self.upstream_pools.core = self.core
         self.reach_graph = self.core.reach_graph = AttemptRecorder(self.clock.now())
         self.core.epoch_provider = self
-        self.downstream = Downstream(self.context, self.core, self.rng, self.current_epoch)
+        self.downstream = Downstream(
+            self.context, self.core, self.rng, self.current_epoch, BodyMemory(body_limit_bytes, self.clock)
+        )
         self.downstream.configuration_confirmed = (
             lambda: self.lease.proven_at > -math.inf and self.has_peers()
         )
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -16,10 +16,10 @@
 from barleyhub import interface as api
 from barleyhub.line.balancer import Balancer, Upstream
 from latchspoke.core import Attempt
+from latchspoke.dataplane.body_memory import BodyConnection, BodyMemory, LargeBody
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.messages import Request, Response
 from latchspoke.net.http import (
-    Connection,
     ConnectionContext,
     FramingError,
     ParserError,
@@ -52,13 +52,13 @@
 EMPTY_REPORT: dict[str, float] = {}
 
 
-class ServerConnection(Connection):
+class ServerConnection(BodyConnection):
     """A connection to a server, carrying one forward at a time."""
 
     side = "server"
 
     def __init__(self, pools: UpstreamPools, pool: UpstreamPool, forward: Attempt) -> None:
-        super().__init__(pools.context)
+        super().__init__(pools.context, pools.body_memory)
         self.pools, self.pool = pools, pool
         self.forward: Attempt | None = forward
         self.idle_since = self.written_at = 0.0
@@ -129,18 +129,21 @@
             if request.method == b"HEAD":
                 self.keep_alive = False
                 self.on_message_complete()
+                return
+            length = self.headers.get(b"content-length", b"0")
+            self.announce_body(min(int(length), self.pools.max_body_bytes) if length.isdigit() else 0)
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit."""
         self.received_bytes += len(part)
         if self.received_bytes > self.pools.max_body_bytes:
             raise FramingError(413, "oversize")
-        self.parts.append(part)
+        self.store_part(part)
 
     def on_message_complete(self) -> None:
         """Validate the response and determine the result of the forward."""
         self.message_started = False
-        body = self.take_body()
+        body = self.take_counted_body()
         status = self.parser.get_status_code()
         if status < 200 or self.result is not None:
             return
@@ -289,8 +292,12 @@
 
     core: DataPlaneCore  # set after construction, as the core needs this port
 
-    def __init__(self, context: ConnectionContext, balancer: Balancer, max_body_bytes: int) -> None:
+    def __init__(
+        self, context: ConnectionContext, balancer: Balancer, max_body_bytes: int, body_memory: BodyMemory
+    ) -> None:
+        """``max_body_bytes``: of one response; ``body_memory``: for all that are being passed on."""
         self.context, self.balancer, self.max_body_bytes = context, balancer, max_body_bytes
+        self.body_memory = body_memory
         self.pools_by_instance: dict[str, UpstreamPool] = {}
         self.cautious_until: dict[str, float] = {}  # by service, while its servers drop idle connections
         self.connection_caps: dict[str, int] = {}  # by service: connections that one server accepts in all
@@ -360,17 +367,17 @@
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
             length_header = b"Content-Length: %d\r\n" % len(request.body)
         self.context.stats["forwards.sent"] += 1
-        connection.transport.write(
-            b"%bX-Deadline-Remaining: %d\r\nX-Expected-Instance: %b\r\n%b%b\r\n%b"
-            % (
-                request.head,
-                remaining_ms,
-                upstream.ident.encode("latin-1"),
-                tenant_header,
-                length_header,
-                request.body,
-            )
+        head = b"%bX-Deadline-Remaining: %d\r\nX-Expected-Instance: %b\r\n%b%b\r\n" % (
+            request.head,
+            remaining_ms,
+            upstream.ident.encode("latin-1"),
+            tenant_header,
+            length_header,
         )
+        if isinstance(request.body, LargeBody):
+            connection.transport.writelines((head, request.body))  # without a copy
+        else:
+            connection.transport.write(head + request.body)
 
     def drop(self, forward: Attempt) -> None:
         """Cancel a forward by closing its connection."""
--- a/latchspoke/dataplane/view.py
+++ b/latchspoke/dataplane/view.py
@@ -140,6 +140,10 @@
         "gateways": list(node.balancer.gateways),
         "clients": len(node.downstream.clients),
         "in_hand": node.downstream.in_flight,
+        "body_memory": {
+            "requests": node.downstream.body_memory.view(),
+            "responses": node.upstream_pools.body_memory.view(),
+        },
         "servers": [
             server_view(node.balancer, upstream, now) for upstream in node.balancer.upstreams.values()
         ],
@@ -181,6 +185,14 @@
     )
     for service, budget in view["budgets"].items():
         retries_left.add(budget["level"], service=service)
+    body_bytes = MetricFamily("latchspoke_body_bytes_held", "Bytes of large bodies in memory.")
+    body_limits = MetricFamily("latchspoke_body_bytes_limit", "Above this, large bodies wait.")
+    bodies_waiting = MetricFamily("latchspoke_bodies_waiting", "Large bodies that wait for memory.")
+    for kind, memory in view["body_memory"].items():
+        body_bytes.add(memory["held"], kind=kind)
+        body_limits.add(memory["limit"], kind=kind)
+        bodies_waiting.add(memory["waiting"], kind=kind)
+    bodies = [body_bytes, body_limits, bodies_waiting]
     events = MetricFamily("latchspoke_events_total", "Counted events; the README names them.", "counter")
     for event, count in view["counters"].items():
         events.add(count, event=event)
@@ -197,7 +209,7 @@
         MetricFamily("latchspoke_clients", "Open connections of clients.").add(view["clients"]),
         MetricFamily("latchspoke_requests_in_hand", "Requests not yet answered.").add(view["in_hand"]),
     ]
-    return render([*gauges, servers, avoided, quota_room, quota_gate, retries_left, events])
+    return render([*gauges, *bodies, servers, avoided, quota_room, quota_gate, retries_left, events])
 
 
 def handle_caller_request(
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from latchspoke.dataplane.downstream import ClientConnection
 from latchspoke.dataplane.messages import Request
 from latchspoke.dataplane.upstream import ServerConnection
 from tests.dataplane.player import Player
@@ -197,3 +198,165 @@
         finally:
             tracemalloc.stop()
     assert held_bytes < MAX_HELD_BYTES
+    for memory in (player.node.downstream.body_memory, player.node.upstream_pools.body_memory):
+        assert (memory.held_bytes, memory.waiting) == (0, {})
+
+
+# Bodies that wait for memory.
+
+
+@pytest.fixture
+def player() -> Player:
+    """A gateway with memory for one body of the tests, and half of another, in each direction."""
+    player = Player()
+    player.step(f'orders {{"limits": {LIMITS}}}')
+    player.step("proof 0")
+    player.step("server s1")
+    for memory in (player.node.downstream.body_memory, player.node.upstream_pools.body_memory):
+        memory.limit_bytes = BODY_BYTES * 3 // 2
+    return player
+
+
+def send_head(exchange: Exchange, framing: str = f"Content-Length: {BODY_BYTES}", more: str = "") -> None:
+    head = (
+        f"POST /book/1 HTTP/1.1\r\nHost: shop\r\nX-Attempt-Id: a{exchange.number}\r\n"
+        f"X-Deadline-Remaining: 3000\r\nAuthorization: Token k1\r\n{more}{framing}\r\n\r\n"
+    )
+    exchange.receive(exchange.client, head.encode())
+
+
+def test_large_bodies_wait_for_memory_in_order_of_arrival(player: Player) -> None:
+    """Guards against many large bodies at once that take a gateway over its memory limit."""
+    first, second, third = (Exchange(player, number) for number in (1, 2, 3))
+    first.send()
+    for exchange in (second, third):
+        send_head(exchange)
+        assert exchange.client.paused and not exchange.client.written
+    first.answer()
+    first.got(200)
+    player.clock.advance(0.01)
+    assert not second.client.paused and third.client.paused
+    second.receive(second.client, BODY)
+    second.answer()
+    second.got(200)
+    player.clock.advance(0.01)
+    assert not third.client.paused
+    third.receive(third.client, BODY)
+    third.answer()
+    third.got(200)
+    assert player.node.stats["bodies.waited"] == 2
+
+
+def test_a_body_that_waits_too_long_is_refused_and_never_sent(player: Player) -> None:
+    first, second = (Exchange(player, number) for number in (1, 2))
+    send_head(first)
+    send_head(second)
+    second.receive(second.client, BODY[:1000])  # read together with the head
+    player.clock.advance(0.6)
+    assert not second.client.paused
+    assert second.client.written == (
+        b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\nConnection: close\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    second.receive(second.client, BODY[1000:])
+    player.clock.advance(1.0)
+    player.report_closed()
+    assert second.client.ended and not player.dialled
+    assert [refusal[1] for refusal in player.node.dispatcher.refusals] == ["no_memory"]
+
+
+def test_a_body_that_is_complete_before_there_is_memory_is_refused(player: Player) -> None:
+    first, second = (Exchange(player, number) for number in (1, 2))
+    send_head(first)
+    send_head(second)
+    second.client.connection.data_received(BODY)  # a last read that was under way
+    assert second.client.written.startswith(b"HTTP/1.1 503 ") and not player.dialled
+    assert not second.client.paused and not second.client.ended
+    second.client.written = b""
+    first.receive(first.client, BODY)
+    first.answer()
+    second.send()
+    second.answer()
+    second.got(200)
+
+
+def test_a_single_body_over_the_limit_is_served(player: Player) -> None:
+    player.node.downstream.body_memory.limit_bytes = player.node.upstream_pools.body_memory.limit_bytes = 1
+    exchange = Exchange(player, 1)
+    exchange.send()
+    exchange.answer(body=BODY)
+    exchange.got(200)
+
+
+def test_a_chunked_body_without_room_is_refused(player: Player) -> None:
+    first, second = (Exchange(player, number) for number in (1, 2))
+    send_head(first)
+    second.send(chunked=True)
+    second.got(503)
+    assert not player.dialled
+    first.receive(first.client, BODY)
+    first.answer()
+    first.got(200)
+
+
+def test_a_client_that_leaves_while_it_waits_is_forgotten(player: Player) -> None:
+    first, second = (Exchange(player, number) for number in (1, 2))
+    send_head(first)
+    send_head(second)
+    player.step(f"{second.name} eof")
+    assert not player.node.downstream.body_memory.waiting
+    player.clock.advance(1.0)
+    assert not second.client.written
+
+
+def test_a_client_is_asked_for_its_body_once_there_is_memory(player: Player) -> None:
+    first, second = (Exchange(player, number) for number in (1, 2))
+    send_head(first)
+    send_head(second, more="Expect: 100-continue\r\n")
+    assert second.client.paused and not second.client.written
+    player.step(f"{first.name} reset")
+    player.clock.advance(0.01)
+    player.step(rf"{second.name} < HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def test_large_responses_wait_for_memory(player: Player) -> None:
+    exchanges = [Exchange(player, number) for number in (1, 2)]
+    servers = []
+    for exchange in exchanges:
+        exchange.send("book", body=BODY)
+        server = exchange.server()
+        server.written = b""
+        servers.append(server)
+        player.node.downstream.body_memory.limit_bytes = 3 * BODY_BYTES
+    for exchange, server in zip(exchanges, servers, strict=True):
+        head = (
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: a{exchange.number}\r\nX-Server-Seal: s\r\n"
+            f"Content-Length: {BODY_BYTES}\r\n\r\n"
+        )
+        exchange.receive(server, head.encode())
+    assert [server.paused for server in servers] == [False, True]
+    exchanges[0].receive(servers[0], BODY)
+    exchanges[0].got(200)
+    player.clock.advance(0.01)
+    assert not servers[1].paused
+    exchanges[1].receive(servers[1], BODY)
+    assert exchanges[1].client.written.endswith(BODY)
+    exchanges[1].got(200)
+
+
+@pytest.mark.parametrize("reads", [False, True])
+def test_a_client_that_does_not_read_its_response_is_dropped(reads: bool, player: Player) -> None:
+    """Guards against memory that clients hold for ever which stop reading a large response."""
+    player.step(f'orders {{"limits": {LIMITS.replace("600", "15")}}}')
+    exchange = Exchange(player, 1)
+    exchange.send()
+    exchange.client.unsent = BODY_BYTES
+    exchange.answer(body=BODY)
+    exchange.got(200)
+    for _ in range(40):
+        exchange.client.unsent -= reads * 1000
+        player.step("proof 0")
+        player.clock.advance(1.0)
+        player.report_closed()
+    connection = cast(ClientConnection, exchange.client.connection)
+    assert connection.close_code == ("idle" if reads else "stuck")
--- a/tests/dataplane/test_client_exchange.py
+++ b/tests/dataplane/test_client_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from latchspoke.dataplane.body_memory import Body
 from latchspoke.dataplane.exchange import ClientExchange
 from latchspoke.dataplane.messages import Response
 from latchspoke.net.stats import Stats
@@ -16,11 +17,11 @@
         self.in_flight: ClientExchange | None = None
         self.written: list[bytes] = []
 
-    def write_response(self, exchange: ClientExchange, data: bytes) -> bool:
+    def write_response(self, exchange: ClientExchange, data: bytes, body: Body = b"") -> bool:
         if exchange is not self.in_flight:
             return False
         self.in_flight = None
-        self.written.append(data)
+        self.written.append(data + body)
         return True
 
 
