Ignore late signals without a moment in which they end the process

Cause: the loop's handlers were removed, which restores the default action, before the signals were ignored; they were blocked meanwhile, but in the main thread alone, and the loop has four more. Handlers are now set by signal.signal and pass the call to the loop, which has none to remove; one call replaces them by SIG_IGN.

--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -25,7 +25,7 @@
 from latchspoke.net.http import CONNECT_GRACE_S, ConnectionContext, Dialer, Sockets, has_pending_connections
 from latchspoke.net.listener import ClientConnection, Listener
 from latchspoke.net.process_group import ProcessGroup, bind_shared_socket, route_new_connections
-from latchspoke.net.signals import TERMINATION_SIGNALS, ignore_signals
+from latchspoke.net.signals import TERMINATION_SIGNALS, ignore_signals, set_signal_handler
 from latchspoke.net.stats import Stats
 from latchspoke.net.target import TargetGroup
 
@@ -272,14 +272,14 @@
     node.on_done = done.set
     node.load_config = load_config
     for number in TERMINATION_SIGNALS:
-        loop.add_signal_handler(number, node.stop)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+        set_signal_handler(loop, number, node.stop)
+    set_signal_handler(loop, signal.SIGHUP, node.reload)
     if not older_processes:
         await listen(node, loop, older_processes)
     if config.rules is not None:
         node.use_rules(open_rules(node, loop, config.rules))
     admin = await open_admin(node, loop, admin_path) if admin_path else None
-    loop.add_signal_handler(signal.SIGUSR1, node.stats.show)
+    set_signal_handler(loop, signal.SIGUSR1, node.stats.show)
     ready = asyncio.Event()
     node.on_ready = ready.set
     if node.listener.stopping:
@@ -302,7 +302,7 @@
         node.rules.stop()
     await asyncio.sleep(0)  # transports report closed connections in the next iteration of the loop
     node.stats.show()
-    ignore_signals(loop)
+    ignore_signals()
 
 
 async def listen(node: Node, loop: asyncio.AbstractEventLoop, older_processes: int) -> None:
--- a/latchspoke/net/signals.py
+++ b/latchspoke/net/signals.py
@@ -1,19 +1,29 @@
-"""Signal handling at the end of a process, so that a late signal does not change the exit status."""
+"""Signal handling of the programs from their first signal handler to the end of the process.
+
+``loop.add_signal_handler`` is not used: closing the loop, or removing such a handler, restores the default
+action for a moment, which ends the process. Blocking the signals meanwhile does not help, as the event loop's
+other threads receive them too.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import signal
+from collections.abc import Callable
 
 TERMINATION_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*TERMINATION_SIGNALS, signal.SIGHUP)
 
 
-def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignore all handled signals; closing the event loop would restore their default action, termination."""
-    signal.pthread_sigmask(
-        signal.SIG_BLOCK, HANDLED_SIGNALS
-    )  # between removing a handler and ignoring the signal
+def set_signal_handler(
+    loop: asyncio.AbstractEventLoop, number: signal.Signals, callback: Callable[[], object]
+) -> None:
+    """Call ``callback`` in the loop for each such signal; replaces an earlier handler."""
+    signal.signal(number, lambda *_: loop.call_soon_threadsafe(callback))
+    signal.siginterrupt(number, False)
+
+
+def ignore_signals() -> None:
+    """Ignore all handled signals for the rest of the process, so that a late one can't change how it ends."""
     for number in HANDLED_SIGNALS:
-        loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -21,7 +21,7 @@
 from latchspoke.membership.protocol import Membership, MembershipEvent
 from latchspoke.membership.transport import MembershipTransport
 from latchspoke.net.clock import Clock
-from latchspoke.net.signals import TERMINATION_SIGNALS, ignore_signals
+from latchspoke.net.signals import TERMINATION_SIGNALS, ignore_signals, set_signal_handler
 from latchspoke.pool.versions import PoolVersions
 from latchspoke.registry.registry import HeartbeatError, Registry
 from latchspoke.settings import SETTINGS_FILE_VARIABLE, Settings, SettingsError, load_settings
@@ -163,19 +163,19 @@
     node = node_class(settings, loop, path)
     node.settings_watch.loaded_stamp = initial_stamp
     asked_to_stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    set_signal_handler(loop, signal.SIGHUP, node.reload)
     for signal_number in TERMINATION_SIGNALS:
-        loop.add_signal_handler(signal_number, asked_to_stop.set)
+        set_signal_handler(loop, signal_number, asked_to_stop.set)
     await node.start()
     for signal_number in TERMINATION_SIGNALS:
-        loop.add_signal_handler(signal_number, node.stop)
+        set_signal_handler(loop, signal_number, node.stop)
     if asked_to_stop.is_set():
         node.stop()  # an orderly shutdown, as clients may have connected meanwhile
     gc.collect()
     gc.freeze()
     await node.stopped.wait()
     await asyncio.sleep(FLUSH_DELAY_S)
-    ignore_signals(loop)
+    ignore_signals()
 
 
 def main(
