--- a/barleyhub/choice.py
+++ b/barleyhub/choice.py
@@ -17,7 +17,7 @@
 MAX_CAPACITY_SHARE = 0.1  # of an account's capacity that one sampled request stands for, at most
 MAX_COUNTER_FAILURES = 3  # failed calls in a row after which the counter counts as unavailable
 MARGIN_SHARE = 1 / 12  # of the mean target latency; the margin is no longer than that
-INITIAL_LATENCY_S = 0.2
+INITIAL_LATENCY_S = 0.2  # before any response; only its ratio to later latencies matters
 NOT_RUN_CODES = (Code.FULL, Code.UNREACHABLE, Code.MOOT)
 
 
--- a/barleyhub/fleet.py
+++ b/barleyhub/fleet.py
@@ -172,7 +172,10 @@
         return bool(self.warm) and self.random.random() >= bound - load
 
     def in_flight_bound(self, now: float) -> float:
-        """This gateway's share of the limit on attempts in flight; cold servers count by their capacity."""
+        """This gateway's share of the limit on attempts in flight; cold servers count by their capacity.
+
+        With all counted in full, the others would be overloaded while most are drained or cold at once.
+        """
         capacity = len(self.warm) + sum(self.warmup_capacity(s, now) for s in self.cold)
         return self.in_flight_limit * capacity / self.shared_by
 
--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -20,10 +20,11 @@
 REPORT_IDLE_S = 2.0  # far from the quota; must be less than TOTALS_MAX_AGE_S
 REPORT_NEAR_QUOTA_S = 0.5
 REPORT_BUSY_S = 0.1  # much has been offered or admitted since the last report
-NEAR_QUOTA_SHARE = 0.8  # share of the rate from which offered units count as near the quota
+NEAR_QUOTA_SHARE = 0.8  # of the rate; a tenant that offers more may soon exceed its quota
 UNREPORTED_SHARE = 0.5  # share of a gateway's part of the remaining units that may stay unreported
 GROWTH_SMOOTHING_PER_S = 4.0  # units a second; keeps small local rates from implying large growth
-INITIAL_BURST_SHARE = 0.5  # initial level of a bucket without known history, as a share of the burst
+# Initial level of a bucket without known history, as a share of the burst, which may just have been used.
+INITIAL_BURST_SHARE = 0.5
 IDLE_EXPIRY_S = 60.0  # idle tenants are dropped after this time
 GRANTED_SHARE = 1.0  # share of the quota that is granted
 # A bucket on hand-over: rate, burst, remaining, offered, admitted, and the reported counts by gateway.
--- a/latchspoke/configstore/config_state.py
+++ b/latchspoke/configstore/config_state.py
@@ -60,7 +60,7 @@
     """The complete state, as encoded in snapshots."""
 
     document: Document | None = None
-    version: int = 0
+    version: int = 0  # 0: no configuration was ever accepted
     index: int = 0
     history: list[tuple[int, str]] = []
     refused: list[str] = []
--- a/latchspoke/registry/registry.py
+++ b/latchspoke/registry/registry.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-SILENT_AFTER_HEARTBEATS = 2.2
+SILENT_AFTER_HEARTBEATS = 2.2  # intervals without one, after which a server counts as silent
 GONE_AFTER_HEARTBEATS = 8.0
 # Smaller changes of the remaining cold time are not distributed. An increase may overload the server.
 COLD_INCREASE_THRESHOLD_S = 0.15
--- a/latchspoke/rollouts/engine.py
+++ b/latchspoke/rollouts/engine.py
@@ -22,7 +22,7 @@
 SETTLE_S = 4.0  # after a patch is accepted, gateways may use the previous version for this long
 POLL_INTERVAL_S = 2.0
 RETRY_DELAY_S = 0.5  # before the configuration is read again after a conflict or an unknown outcome
-MAX_ATTEMPTS = 20
+MAX_ATTEMPTS = 20  # of one command, before the rollout is given up
 MAX_WINDOW_S = RETENTION_S - 4 * SPAN_S  # gateways keep the counts of the last KEPT seconds
 MIN_WINDOW_S = 0.1
 SHARE_TOLERANCE = 0.01  # percent; shares that differ by less are equal
--- a/latchspoke/transport/connection.py
+++ b/latchspoke/transport/connection.py
@@ -13,7 +13,7 @@
 MessageHandler = Callable[["MessageConnection", Message], None]
 CloseHandler = Callable[["MessageConnection", str], None]
 MAX_UNREAD_BYTES = 8 * 1024 * 1024  # in the write buffer before a peer that does not read is dropped
-USER_TIMEOUT_MS = 2500  # TCP_USER_TIMEOUT
+USER_TIMEOUT_MS = 2500  # TCP_USER_TIMEOUT: sent data may stay unacknowledged for so long
 
 
 class MessageConnection(asyncio.Protocol):
