Let the soak kill starting control machines, remove all tenants and send large bodies

New operations: a control machine is killed, and up to four times more as it writes the number of its start; all tenants are removed and come back. 3 in 100 bodies have 16 to 600 KB. New checks: a run without the tenant of its client's key (ROUTE), bodies held 4 s after the last client has left, by status (FAULT).

--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -22,6 +23,9 @@
 NETS = range(130, 250)
 CLAIM = 7599  # port, bound at a net by the run that has it
 GRACE = 3.0  # s
+START_FILE = "register.new"  # there while a control machine writes the number of its start
+START_WITHIN = 2.0  # s
+LOOK_INTERVAL = 0.0001  # s
 ZONES = {"left-bank": "west", "right-bank": "east"}
 BOUNDS = [
     "contactS=4", "ackS=6", "drainS=3", f"graceS={GRACE:g}", "configApplyS=3", "revocationEnforced=true",
@@ -65,6 +69,18 @@
     return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
 
 
+def kill_when_written(pid: int, life: Life, file: Path) -> bool:
+    """Kill a process as soon as this file is there; False if it isn't written in time."""
+    until = time.monotonic() + START_WITHIN
+    while not file.exists():
+        if time.monotonic() > until:
+            return False
+        time.sleep(LOOK_INTERVAL)
+    life.killed_at = time.monotonic()
+    os.kill(pid, signal.SIGKILL)
+    return True
+
+
 class Fleet:
     """All machines of a run."""
 
@@ -198,6 +214,24 @@
         await asyncio.sleep(pause)
         await self.start(machine)
 
+    async def kill_starting(self, machine: Machine, times: int) -> None:
+        """SIGKILL, and again in so many of the next starts, as the number of the start is written."""
+        if machine.stops or machine.process is None:
+            return
+        begun, file = time.monotonic(), self.folder / machine.name / START_FILE
+        self.record.troubles[machine.ip].append((begun, math.inf))
+        await self.kill(machine, 0.0)
+        for _ in range(times):
+            machine.stops = True
+            process, life = machine.process, self.record.lives[machine.ip][-1]
+            if await asyncio.to_thread(kill_when_written, process.pid, life, file):
+                self.record.done["killed in a start"] += 1
+                await process.wait()
+                file.unlink(missing_ok=True)  # so that the next start is seen to write it
+                await self.start(machine)
+        machine.stops = False
+        self.record.troubles[machine.ip][-1:] = [(begun, time.monotonic())]
+
     async def ended(self, machine: Machine, life: Life, within: float) -> None:
         """Wait for its end; SIGKILL if it doesn't come in time (s)."""
         assert machine.process is not None
--- a/latchspoke/lab/soak/parties.py
+++ b/latchspoke/lab/soak/parties.py
@@ -26,7 +26,11 @@
 DEADLINE = 1.2  # s that a client waits
 THINK = 0.02  # s between two requests on a connection, at most
 AGAIN = 0.1  # s until a connection that was closed is replaced
+DENIED_PAUSE_S = 0.2  # after a 401, before the next request
+LARGE_BODY_SHARE = 0.03  # of the requests with a body
+LARGE_BODY_BYTES = (16 * 1024, 600 * 1024)
 PATHS = ("/levels/now", "/tickets/new")
+KEYS = {"ferry": "key-of-ferry", "mill": "key-of-mill"}  # by tenant
 
 
 async def call(address: Address, method: str, target: str, body: bytes = b"") -> tuple[int, bytes]:
@@ -126,7 +130,8 @@
         headers = connection.headers
         attempt = headers.get(b"x-attempt-id", b"").decode("latin-1")
         target = connection.url.decode("latin-1")
-        arrival = Arrival(attempt, method, target, connection.body, self.ident, time.monotonic())
+        tenant = headers.get(b"x-tenant-name", b"").decode("latin-1")
+        arrival = Arrival(attempt, method, target, connection.body, self.ident, time.monotonic(), tenant)
         self.record.arrivals[attempt].append(arrival)
         if headers.get(b"x-expected-instance", b"").decode("latin-1") != self.ident:
             self.answer(connection, arrival, 421, b"X-Not-Executed: 1\r\n")
@@ -262,10 +267,10 @@
     """Some connections side by side, each with one request after the other."""
 
     def __init__(
-        self, record: Record, draw: random.Random, key: str, locate: Callable[[], list[Address]]
+        self, record: Record, draw: random.Random, tenant: str, locate: Callable[[], list[Address]]
     ) -> None:
-        """``locate``: the gateways that may be connected to."""
-        self.record, self.draw, self.key, self.locate = record, draw, key, locate
+        """``tenant``: the holder of its key; ``locate``: the gateways that may be connected to."""
+        self.record, self.draw, self.tenant, self.locate = record, draw, tenant, locate
 
     async def run(self) -> None:
         """One connection after the other, until it is cancelled."""
@@ -288,12 +293,13 @@
         """One, to its answer, the end of the connection, or the end of the client's patience."""
         path = self.draw.choice(PATHS)
         method = "GET" if path == PATHS[0] else "POST"
-        body = b"" if method == "GET" else self.draw.randbytes(20).hex().encode()
+        size = self.draw.randint(*LARGE_BODY_BYTES) if self.draw.random() < LARGE_BODY_SHARE else 40
+        body = b"" if method == "GET" else self.draw.randbytes(size // 2).hex().encode()
         now = time.monotonic()
         attempt = f"{self.draw.getrandbits(64):016x}"
-        sent = Sent(attempt, method, path, body, connection.gateway, now, now + DEADLINE)
+        sent = Sent(attempt, method, path, body, connection.gateway, now, now + DEADLINE, self.tenant)
         self.record.sent[attempt] = sent
-        connection.send(sent, self.key)
+        connection.send(sent, KEYS[self.tenant])
         try:
             async with asyncio.timeout(DEADLINE):
                 await connection.over.wait()
@@ -301,6 +307,8 @@
             sent.gave_up = True
             if connection.transport is not None:
                 connection.transport.abort()
+        if sent.status == 401:
+            await asyncio.sleep(DENIED_PAUSE_S)
 
 
 def configuration(version: int, base: int, draw: random.Random) -> dict[str, Any]:
@@ -308,8 +316,8 @@
     weight = draw.choice((50, 80, 95))
     limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15}
     tenants = [
-        {"name": name, "apiKeys": [f"key-of-{name}"], "priority": rank, "ratePerS": 0, "burstSize": 0}
-        for rank, name in enumerate(("ferry", "mill"))
+        {"name": name, "apiKeys": [key], "priority": rank, "ratePerS": 0, "burstSize": 0}
+        for rank, (name, key) in enumerate(KEYS.items())
     ]
     split = [{"service": "booking", "weight": weight}, {"service": "gauges", "weight": 100 - weight}]
     levels = {"service": "gauges", "timeoutS": draw.choice((1.0, 2.0)), "maxAttempts": 2}
--- a/latchspoke/lab/soak/record.py
+++ b/latchspoke/lab/soak/record.py
@@ -24,6 +24,7 @@
     gateway: str  # its address
     at: float
     deadline: float
+    tenant: str = ""  # that holds its key
     status: int = 0  # 0: none came
     stamped: str = ""
     seal: str = ""
@@ -47,6 +48,7 @@
     body: bytes
     server: str
     at: float
+    tenant: str = ""  # as the gateway names it
     ran: bool = False
     status: int = 0
     seal: str = ""
@@ -129,6 +131,8 @@
         asked = (sent.method, sent.path, sent.body)
         if any((a.method, a.path, a.body) != asked for a in arrivals):
             wrong.append(("UNASKED", "it came to a server as another request"))
+        if any(run.tenant != sent.tenant for run in runs):
+            wrong.append(("ROUTE", f"run for tenant {runs[0].tenant!r}, with the key of {sent.tenant!r}"))
         if not sent.repeatable and len(runs) > 1:
             wrong.append(("TWICE", f"run at {', '.join(run.server for run in runs)}"))
         if not sent.repeatable and sent.status in PROMISES and runs:
--- a/latchspoke/lab/soak/run.py
+++ b/latchspoke/lab/soak/run.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 from typing import Any
 
-from latchspoke.lab.soak.fleet import GRACE, ZONES, Fleet, Machine
-from latchspoke.lab.soak.parties import Client, Server, call, configuration
+from latchspoke.lab.soak.fleet import GRACE, READINESS, ZONES, Fleet, Machine
+from latchspoke.lab.soak.parties import KEYS, Client, Server, call, configuration
 from latchspoke.lab.soak.record import Finding, Record
 
 UP_WITHIN = 60.0  # s
@@ -24,6 +24,7 @@
 SERVED_LEAST = 0.5  # of the requests; below, a run shows nothing
 TRIES = 30  # of an order
 SETTLE = 1.0  # s after the last operation
+RELEASED_WITHIN = 4.0  # s after the last client has left, for memory of bodies
 
 
 class NotUpError(Exception):
@@ -58,6 +59,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.version = 0
         self.evacuating = asyncio.Lock()  # one zone at a time, so that there are servers
+        self.killing_control = asyncio.Lock()
 
     # The parts.
 
@@ -140,6 +142,44 @@
         """One control machine in order."""
         await self.fleet.restart(self.draw.choice(self.fleet.core), self.draw.uniform(0.0, 0.5))
 
+    async def kill_starting_control(self) -> None:
+        """One control machine is killed, and again while it starts; one at a time, for a majority."""
+        async with self.killing_control:
+            await self.fleet.kill_starting(self.draw.choice(self.fleet.core), self.draw.randint(1, 4))
+
+    async def remove_tenants(self) -> None:
+        """All tenants are removed, the last one too, and come back a little later."""
+        base, self.version = self.version, self.version + 1
+        change = {
+            "version": f"{self.version:08x}", "baseVersion": f"{base:08x}", "remove": {"tenants": list(KEYS)},
+        }  # fmt: skip
+        address = self.draw.choice(self.fleet.control)
+        body = json.dumps(change).encode()
+        status, _ = await call(address, "POST", "/rpc?call=configuration.modify", body)
+        if status != 200:
+            await self.look()
+        await asyncio.sleep(self.draw.uniform(0.0, 1.0))
+        for _ in range(TRIES):
+            if await self.order() == 200:
+                return
+            await asyncio.sleep(0.2)
+        self.record.faults.append((time.monotonic(), "no configuration with tenants was taken"))
+
+    async def check_memory(self) -> None:
+        """Gateways whose clients have all left hold no bodies, after a moment."""
+        until = time.monotonic() + RELEASED_WITHIN
+        holding = dict.fromkeys(self.fleet.edges, "")
+        while holding and time.monotonic() < until:
+            await asyncio.sleep(0.2)
+            for machine in list(holding):
+                status, body = await call((machine.ip, READINESS), "GET", "/status")
+                memory = json.loads(body)["body_memory"] if status == 200 else {}
+                holding[machine] = json.dumps(memory)
+                if not any(part["held"] or part["waiting"] for part in memory.values()):
+                    del holding[machine]
+        for machine, memory in holding.items():
+            self.record.faults.append((time.monotonic(), f"{machine.name} holds bodies of nobody: {memory}"))
+
     async def release(self) -> None:
         """Some servers leave in order, and successors come."""
         for server in self.draw.sample(list(self.servers), 3):
@@ -186,6 +226,7 @@
         operations = (
             self.restart_gateways, self.restart_gateways, self.hang_up, self.change, self.release,
             self.evacuate, self.restart_control, self.kill_gateway, self.freeze_gateway,
+            self.kill_starting_control, self.remove_tenants,
         )  # fmt: skip
         while time.monotonic() < until:
             operation = self.draw.choice(operations)
@@ -201,9 +242,7 @@
             await self.up()
             for number in range(self.plan.clients):
                 draw = random.Random(self.draw.getrandbits(32))
-                client = Client(
-                    self.record, draw, f"key-of-{('ferry', 'mill')[number % 2]}", self.fleet.fronts
-                )
+                client = Client(self.record, draw, list(KEYS)[number % len(KEYS)], self.fleet.fronts)
                 self.tasks.append(asyncio.create_task(client.run()))
             until = time.monotonic() + self.plan.seconds
             await asyncio.gather(*(self.series(until) for _ in range(self.plan.series)))
@@ -214,6 +253,7 @@
             for task in clients:
                 task.cancel()
             await asyncio.gather(*clients, return_exceptions=True)
+            await self.check_memory()
             await self.fleet.stop_all()
             rest = [*self.tasks[self.plan.clients :], *self.servers.values()]
             for task in rest:
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -97,6 +97,9 @@
     assert judged(request(status=504, stamped="a0", seal="t"), arrival()) == ["MIXED"]
     assert judged(request(status=504, stamped="a1", seal="s"), arrival()) == ["MIXED"]
     assert judged(request(**served), arrival(path="/other")) == ["UNASKED"]
+    assert judged(request(tenant="ferry", **served), arrival(tenant="ferry")) == []
+    assert judged(request(tenant="ferry", **served), arrival()) == ["ROUTE"]
+    assert judged(request(tenant="ferry", **served), arrival(tenant="mill")) == ["ROUTE"]
     posted = request("POST", **served)
     assert judged(posted, arrival("POST"), arrival("POST", seal="t")) == ["TWICE"]
     assert judged(request("POST", status=503), arrival("POST")) == ["REFUSED"]
