--- a/latchspoke/dataplane/body_memory.py
+++ b/latchspoke/dataplane/body_memory.py
@@ -91,40 +91,32 @@
     refuses_without_room = False
 
     def __init__(self, context: ConnectionContext, memory: BodyMemory) -> None:
+        super().__init__(context)
         self.memory = memory
         self.large_body: LargeBody | None = None
-        super().__init__(context)
-
-    @property
-    def waits_for_memory(self) -> bool:
-        """Whether the rest of the current body is not read for lack of memory."""
-        return self in self.memory.waiting
+        self.waits_for_memory = False  # the rest of the current body is not read meanwhile
 
-    def reset_message_state(self) -> None:
-        """As ``Connection.reset_message_state``; also drops a large body."""
-        super().reset_message_state()
-        self.large_body = None
-
-    def announce_body(self, size: int) -> None:
+    def announce_large_body(self, size: int) -> None:
         """A body of this size (bytes) follows: reserve memory, or stop reading until there is some."""
-        if size < MIN_COUNTED_BYTES:
-            return
         self.large_body = self.memory.reserve(size)
         if self.large_body is None:
             self.memory.waiting[self] = size
+            self.waits_for_memory = True
             self.context.stats["bodies.waited"] += 1
             self.set_reading(False)
 
     def memory_granted(self, body: LargeBody) -> None:
         """Go on with a body that has waited."""
+        self.waits_for_memory = False
         body += self.take_body()
         self.large_body = body
         self.set_reading(True)
 
     def stop_waiting(self) -> None:
         """Read on without memory for the current body."""
-        if self.memory.waiting.pop(self, None) is not None:
-            self.set_reading(True)
+        del self.memory.waiting[self]
+        self.waits_for_memory = False
+        self.set_reading(True)
 
     def set_reading(self, reading: bool) -> None:
         """Resume or pause reading, unless the connection is closing."""
@@ -174,5 +166,5 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """As ``Connection.connection_lost``; also drops what was received of a large body."""
         self.memory.waiting.pop(self, None)
-        self.large_body = None
+        self.waits_for_memory, self.large_body = False, None
         super().connection_lost(exc)
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -13,7 +13,14 @@
 from barleyhub.line.dispatch import RoutedRequest
 from latchspoke.configuration.routes import Limits, Route, Table
 from latchspoke.core import DecisionLease
-from latchspoke.dataplane.body_memory import NO_MEMORY, Body, BodyConnection, BodyMemory, LargeBody
+from latchspoke.dataplane.body_memory import (
+    MIN_COUNTED_BYTES,
+    NO_MEMORY,
+    Body,
+    BodyConnection,
+    BodyMemory,
+    LargeBody,
+)
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.exchange import ClientExchange, status_line
 from latchspoke.dataplane.messages import Request
@@ -160,7 +167,8 @@
         size = int(length) if length.isdigit() else 0
         if size > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
-        self.announce_body(size)
+        if size >= MIN_COUNTED_BYTES:
+            self.announce_large_body(size)
         if self.waits_for_memory:
             clock, request = self.context.clock, self.headers
             clock.schedule(clock.now() + MEMORY_WAIT_S, lambda now: self.memory_wait_expired(request))
@@ -199,7 +207,8 @@
         self.message_count += 1
         self.keep_alive = self.parser.should_keep_alive()
         refused = self.waits_for_memory
-        self.stop_waiting()
+        if refused:
+            self.stop_waiting()
         exchange = self.exchange = ClientExchange(
             self, self.context.stats, self.parser.get_method(), self.url, self.headers, self.header_pairs,
             self.take_counted_body(), self.context.clock.now(),
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -16,7 +16,7 @@
 from barleyhub import interface as api
 from barleyhub.line.balancer import Balancer, Upstream
 from latchspoke.core import Attempt
-from latchspoke.dataplane.body_memory import BodyConnection, BodyMemory, LargeBody
+from latchspoke.dataplane.body_memory import MIN_COUNTED_BYTES, BodyConnection, BodyMemory, LargeBody
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.messages import Request, Response
 from latchspoke.net.http import (
@@ -131,7 +131,9 @@
                 self.on_message_complete()
                 return
             length = self.headers.get(b"content-length", b"0")
-            self.announce_body(min(int(length), self.pools.max_body_bytes) if length.isdigit() else 0)
+            size = int(length) if length.isdigit() else 0
+            if size >= MIN_COUNTED_BYTES:
+                self.announce_large_body(min(size, self.pools.max_body_bytes))
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit."""
