Let an agent wait for a new process's environment before it looks for its mark

Traced: its first process, started in that second, still ran ten minutes later and held the port (20060); its log held only 'Address already in use' of later starts. So the agent had lost the first one. An empty environment now means to look again, for as long as for the process's number. Ruled out: another test's process on the port (the parent's folder names this very test).

--- a/barleyhub/fleet.py
+++ b/barleyhub/fleet.py
@@ -172,12 +172,9 @@
         return bool(self.warm) and self.random.random() >= bound - load
 
     def in_flight_bound(self, now: float) -> float:
-        """This gateway's share of the limit on attempts in flight; cold servers count by their capacity.
-
-        With all counted in full, the others would be overloaded while most are drained or cold at once.
-        """
+        """This gateway's share of the limit on attempts in flight; cold servers count by their capacity."""
         capacity = len(self.warm) + sum(self.warmup_capacity(s, now) for s in self.cold)
-        return self.in_flight_limit * capacity / self.shared_by
+        return self.in_flight_limit * capacity / self.shared_by  # by all servers: too much when most drain
 
     def adapt_limit(self, slow: float, now: float) -> None:
         """Raise or cut the in-flight limit by the share of slow answers; ``slow`` is 1 for a slow answer."""
--- a/latchspoke/agent/process.py
+++ b/latchspoke/agent/process.py
@@ -40,10 +40,23 @@
     return None if fields[0] in ("Z", "X") else int(fields[19])
 
 
+def read_environment(pid: int) -> bytes:
+    """The environment of a process, empty while it executes a new program. Raises OSError."""
+    return Path(f"/proc/{pid}/environ").read_bytes()
+
+
 def has_mark(pid: int, mark: str) -> bool:
     """Whether the process has this mark in its environment."""
     try:
-        return f"{MARK}={mark}".encode() in Path(f"/proc/{pid}/environ").read_bytes().split(b"\0")
+        return f"{MARK}={mark}".encode() in read_environment(pid).split(b"\0")
+    except OSError:
+        return False
+
+
+def is_executing(pid: int) -> bool:
+    """Whether the process is about to run a new program, so that its environment can't be read yet."""
+    try:
+        return start_ticks(pid) is not None and not read_environment(pid)
     except OSError:
         return False
 
@@ -83,6 +96,16 @@
             return None
         return cls(pid, ticks, fd)
 
+    @classmethod
+    async def find_started(cls, pid: int, mark: str) -> Process | None:
+        """As ``find``, for a process that may just have been forked."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PID_TIMEOUT_S
+        while (process := cls.find(pid, mark)) is None and is_executing(pid) and loop.time() < deadline:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        # Its environment may have become readable between the two looks.
+        return process or cls.find(pid, mark)
+
     def signal(self, number: int) -> None:
         """Send a signal; does nothing if the process has ended."""
         with contextlib.suppress(ProcessLookupError):
@@ -139,7 +162,8 @@
         pid = await wait_number(folder / "pid", PID_TIMEOUT_S)
         if pid is None:
             return "its keeper told no pid"
-        return Process.find(pid, self.mark(name, launch)) or await self.already_ended(name, launch)
+        process = await Process.find_started(pid, self.mark(name, launch))
+        return process or await self.already_ended(name, launch)
 
     async def already_ended(self, name: str, launch: int) -> str:
         status = await self.status(name, launch)
@@ -149,7 +173,9 @@
         """Find a process after a restart of the agent; waits for the wrapper's file if no PID is recorded."""
         if not pid:
             found_pid = await wait_number(self.folder(name, launch) / "pid", PID_TIMEOUT_S)
-            return Process.find(found_pid, self.mark(name, launch)) if found_pid is not None else None
+            if found_pid is None:
+                return None
+            return await Process.find_started(found_pid, self.mark(name, launch))
         return Process.find(pid, self.mark(name, launch), started)
 
     async def status(self, name: str, launch: int) -> int | None:
