--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -137,6 +137,7 @@
             "GET /register/copy": lambda call, body, caller: self.export_state(),
         }
         self.stopping = False
+        self.unknown_calls = 0  # calls that no handler answers, since the start
 
     # The replicated store.
 
@@ -409,6 +410,8 @@
         call = parse_call(method, target)
         handler = self.handlers.get(call.name)
         if handler is None:
+            self.unknown_calls += 1
+            log("unknown-call", method=method, target=target[:100])
             return 404, {"errorText": f"no such call: {method} {target[:100]}"}
         return handler(call, body, caller)
 
--- a/latchspoke/controlplane/view.py
+++ b/latchspoke/controlplane/view.py
@@ -92,6 +92,7 @@
         "region": settings.region,
         "life": node.instance_id,
         "stopping": node.stopping,
+        "unknown_calls": node.unknown_calls,
         "version": f"{stored.version:08x}",
         "index": stored.index,
         "told_index": node.published_state.committed.index,
@@ -138,6 +139,9 @@
                 int(view["version"], 16)
             ),
             MetricFamily("latchspoke_config_index", "Place of the operator's last word.").add(view["index"]),
+            MetricFamily("latchspoke_unknown_calls_total", "Calls that this release doesn't answer.").add(
+                view["unknown_calls"]
+            ),
             MetricFamily("latchspoke_register_leads", "1 on the machine that leads the register.").add(
                 register["role"] == "leader"
             ),
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -463,3 +463,27 @@
     harness.node.handle_proof_request(second, 2)
     harness.run(asyncio.sleep(1.0))
     assert [message.get("index") for message in second.sent] == [0]
+
+
+# Every call of servers, operators and clients in the protocol.
+PROTOCOL_CALLS = (
+    ("POST", "/rpc?call=instances.heartbeat&of=i-1"),
+    ("POST", "/rpc?call=instances.deregister&of=i-1"),
+    ("POST", "/rpc?call=configuration.replace"),
+    ("POST", "/rpc?call=configuration.modify"),
+    ("POST", "/rpc?call=configuration.read"),
+    ("POST", "/rpc?call=evacuation.begin&of=waw-a"),
+    ("POST", "/rpc?call=evacuation.finish&of=waw-a"),
+    ("POST", "/rpc?call=rollouts.begin"),
+    ("POST", "/rpc?call=rollouts.read&of=saldo"),
+    ("GET", "/resolution?name=a.example&region=mazowsze&zone=waw-a"),
+)
+
+
+@pytest.mark.parametrize(("method", "target"), PROTOCOL_CALLS)
+def test_no_call_of_the_protocol_is_unknown(harness: NodeHarness, method: str, target: str) -> None:
+    """SHORT: orders of rollouts were answered 404, as no program knew the call."""
+    response = harness.node.handle_request(method, target, b"{}")
+    if not isinstance(response, tuple):
+        cast(Coroutine[Any, Any, Any], response).close()
+    assert harness.node.unknown_calls == 0
