Roll out new versions of a service: orders, pooled samples, judgement, routing

An order is a command of the replicated log, acknowledged once committed; repeating it changes nothing, and another version meanwhile is refused with 412. Gateways send a trial share (0.8 of exposureShare) of first attempts to a subset of the new servers, the same on all of them, and report cumulative counts by server and route. The log's leader pools them, compares the versions and commits the next step: revert, full share, or completed once all gateways report nothing in flight at old servers. A gateway out of touch for 2 s sends nothing to an unproven version.

The wire of servers between nodes carries the version now; the test of the recorded bytes says so and checks both forms.

--- a/barleyhub/line/balancer.py
+++ b/barleyhub/line/balancer.py
@@ -11,6 +11,7 @@
 
 from barleyhub.line.budget import SendWindow, cold_server_allowance
 from barleyhub.line.queue_delay import QueueDelays
+from barleyhub.line.versions import VersionRouter, VersionRule
 from barleyhub.state import Health
 
 # Smoothing factors: the weight of a new sample in a moving average.
@@ -62,6 +63,7 @@
     answered_at: float = -math.inf
     send_window: SendWindow = msgspec.field(default_factory=SendWindow)
     full_until: float = -math.inf  # after it rejected a request
+    version: str = ""  # of its software
 
 
 class ColdLimit(msgspec.Struct):
@@ -104,6 +106,7 @@
         self.queue_delays = QueueDelays()
         # Failure shares by instance, agreed on by several gateways.
         self.outlier_shares: dict[str, float] = {}
+        self.versions = VersionRouter()
 
     # Updates from the control plane.
 
@@ -119,7 +122,7 @@
             self.services.setdefault(upstream.service, {})[upstream.ident] = upstream
             return
         known.state = max(known.state, upstream.state)
-        known.slots = upstream.slots
+        known.slots, known.version = upstream.slots, upstream.version or known.version
         known.cold_until = upstream.cold_until
         if known.silent and not upstream.silent:
             # Heartbeats have resumed, and they tell how long the upstream is cold.
@@ -150,6 +153,11 @@
                 )
         self.evacuated = zones
 
+    def set_version_rules(self, rules: dict[str, VersionRule]) -> None:
+        """Replace the rollouts by service."""
+        self.revision += 1
+        self.versions.rules = rules
+
     def set_gateways(self, gateways: dict[str, str], departed: Iterable[str] = ()) -> None:
         """Set the live gateways with their zones, and departed ones that may still send to cold upstreams."""
         self.gateways = sorted({*gateways, *departed})
@@ -185,9 +193,25 @@
         assumed in s for a route without answers yet.
         """
         latency = self.route_latency.get(route, initial_latency)
+        upstreams = self.services.get(service, {})
+        if service not in self.versions.rules:
+            return self.pick_among(upstreams.values(), service, homes, tried, now, latency)
+        draw = None if tried else self.rng.random()
+        groups = self.versions.candidates(service, upstreams, self.revision, self.evacuated, draw, now)
+        for group in groups:
+            best = self.pick_among(group, service, homes, tried, now, latency)
+            if best is not None:
+                return best
+        return None
+
+    def pick_among(
+        self, upstreams: Iterable[Upstream], service: str, homes: frozenset[str] | None,
+        tried: Collection[str], now: float, latency: float,
+    ) -> Upstream | None:  # fmt: skip
+        """The eligible one of ``upstreams`` with the lowest score; ``latency`` in s is the route's."""
         best, lowest = None, math.inf
         delays: dict[str, float] = {}  # queueing delay by region
-        for upstream in self.services.get(service, {}).values():
+        for upstream in upstreams:
             if upstream.state is not UpstreamState.READY or upstream.zone in self.evacuated:
                 continue
             if homes is not None and upstream.region not in homes:
--- a/barleyhub/line/dispatch.py
+++ b/barleyhub/line/dispatch.py
@@ -20,6 +20,7 @@
 from barleyhub.line.budget import RetryBudget
 from barleyhub.line.outliers import FailureReporter
 from barleyhub.line.quota import IDLE_EXPIRY_S, Account
+from barleyhub.line.rollout_samples import InFlightAttempt, RolloutSampler
 
 if TYPE_CHECKING:  # imported at run time only if a route uses affinity
     from barleyhub.affinity.rendezvous import Caller
@@ -176,6 +177,7 @@
         self.burst_unknown_until = -math.inf  # until then, other gateways may be using up the bursts
         self.affinity: AffinitySelector | None = None
         self.failure_reporter = FailureReporter()
+        self.rollout_samplers: dict[str, RolloutSampler] = {}  # by service, of unfinished rollouts
         # Recent refusals and failures for the status view: time, reason code, route, tenant.
         self.refusals: deque[tuple[float, str, str, str]] = deque(maxlen=100)
 
@@ -345,6 +347,8 @@
                 upstream = self.affinity.pick(
                     request.caller, request.service, active.homes, active.tried, now
                 )
+                if upstream is not None and not self.balancer.versions.accepts_callers(upstream, now):
+                    upstream = None
             if upstream is None:
                 upstream = self.balancer.pick(
                     request.service, route.name, active.homes, active.tried, now, initial_latency
@@ -417,6 +421,11 @@
         route, code = active.request.route, event.code
         assert route is not None
         self.record_outcome(upstream, route, event, now)
+        if upstream.service in self.rollout_samplers:
+            self.rollout_samplers[upstream.service].record(
+                InFlightAttempt((event.request, event.attempt), upstream, route.name, sent_at),
+                code, event.took, INITIAL_LATENCY_FACTOR * route.aim, "forgot" in event.report,
+            )  # fmt: skip
         if code in (Code.UNREACHABLE, Code.MOOT):
             active.delivered -= 1
         active.executed = active.executed or code not in NOT_EXECUTED
@@ -459,6 +468,19 @@
             # A failed link between regions, or a connection given up here, is not the upstream's fault.
             self.failure_reporter.record(upstream.ident, code is not Code.OK, now)
 
+    def attempts_in_flight(self, service: str) -> list[tuple[Route, InFlightAttempt]]:
+        """All attempts at a service that have not ended, with their routes."""
+        return [
+            (
+                active.request.route,
+                InFlightAttempt((request, attempt), upstream, active.request.route.name, sent_at),
+            )
+            for request, active in self.active_requests.items()
+            if active.request.route is not None
+            for attempt, (upstream, sent_at) in active.in_flight.items()
+            if upstream.service == service
+        ]
+
     def finish(self, active: ActiveRequest, now: float) -> None:
         """Give the final answer to a request that has no attempt in flight."""
         self.remove(active)
--- a/latchspoke/configstore/config_state.py
+++ b/latchspoke/configstore/config_state.py
@@ -1,4 +1,4 @@
-"""State machine of the config store: one configuration document and the evacuated zones.
+"""State machine of the config store: one configuration document, evacuated zones and version rollouts.
 
 Deterministic: applying the same commands at the same indices yields the same state. Commands are JSON:
 
@@ -13,6 +13,8 @@
 Several operators may evacuate the same zone independently. ``stand`` is the number of active evacuations of
 the zone that the sender knew of: the command then starts another one, or ends one of several, if the number
 still matches. An evacuation without it has no effect on a zone that is already evacuated.
+
+The commands of rollouts, and what they do to a service's record, are in ``version_rollouts.records``.
 """
 
 from __future__ import annotations
@@ -23,6 +25,8 @@
 
 import msgspec
 
+from latchspoke.version_rollouts.records import TRANSITIONS, RolloutRecord, TransitionError
+
 Document = dict[str, Any]
 Command = dict[str, Any]
 ApplyPatch = Callable[[Document, Document], Document]
@@ -65,6 +69,8 @@
     history: list[tuple[int, str]] = []
     refused: list[str] = []
     zones: dict[str, tuple[int, int | bool]] = {}
+    # Left out if there are none, so that releases without rollouts read and write the same bytes.
+    rollouts: dict[str, RolloutRecord] | msgspec.UnsetType = msgspec.UNSET
 
 
 IMAGE_DECODER: msgspec.json.Decoder[Image] = msgspec.json.Decoder(Image)
@@ -87,6 +93,7 @@
     )  # digests rejected because their base was not applied yet
     # By zone: index of its last change, and number of active evacuations (older releases write True for 1).
     zones: dict[str, tuple[int, int | bool]] = field(default_factory=dict)
+    rollouts: dict[str, RolloutRecord] = field(default_factory=dict)  # the newest of each service
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -116,6 +123,8 @@
                 return self.set_zone_evacuated(index, command, True)
             case "restore":
                 return self.set_zone_evacuated(index, command, False)
+            case "rollout-begin" | "rollout-advance" | "rollout-end":
+                return self.change_rollout(index, command)
         raise CommandRefused(INVALID, f"no such order: {command['do']!r}")
 
     def change_configuration(self, index: int, command: Command) -> str:
@@ -176,11 +185,23 @@
         self.index = index
         return TAKEN
 
+    def change_rollout(self, index: int, command: Command) -> str:
+        """Begins, advances or ends the rollout of a service."""
+        service = command["service"]
+        try:
+            record = TRANSITIONS[command["do"]](self.rollouts.get(service), index, command)
+        except TransitionError as e:
+            raise CommandRefused(CONFLICT, str(e)) from None
+        if record is None:
+            return REPEATED
+        self.rollouts[service], self.index = record, index
+        return TAKEN
+
     def dump(self) -> bytes:
         """The complete state, encoded for a snapshot."""
         image = Image(
             self.document, self.version, self.index, list(self.history.items()), list(self.refused),
-            self.zones,
+            self.zones, self.rollouts or msgspec.UNSET,
         )  # fmt: skip
         return msgspec.json.encode(image)
 
@@ -190,6 +211,7 @@
         self.document, self.version, self.index = image.document, image.version, image.index
         self.history, self.refused = dict(image.history), dict.fromkeys(image.refused)
         self.zones = dict(image.zones)
+        self.rollouts = {} if image.rollouts is msgspec.UNSET else dict(image.rollouts)
 
 
 def trim_to_limit(entries: dict[Any, Any]) -> None:
--- a/latchspoke/configstore/copies.py
+++ b/latchspoke/configstore/copies.py
@@ -83,9 +83,14 @@
     founder_names = tuple(sorted(set(founders)))
     token = blake2b("\n".join((copy.digest, *founder_names)).encode(), digest_size=4).hexdigest()
     index = (max(copy.applied, copy.orders.index) // INDEX_BLOCK + 1) * INDEX_BLOCK
-    image = msgspec.structs.replace(
-        copy.orders, index=index, zones={zone: (index, out) for zone, (_, out) in copy.orders.zones.items()}
-    )
+    zones = {zone: (index, out) for zone, (_, out) in copy.orders.zones.items()}
+    image = msgspec.structs.replace(copy.orders, index=index, zones=zones)
+    if image.rollouts is not msgspec.UNSET:
+        rollouts = {
+            service: msgspec.structs.replace(record, rollout_id=index, changed_index=index)
+            for service, record in image.rollouts.items()
+        }
+        image = msgspec.structs.replace(image, rollouts=rollouts)
     identity_suffix = f"r-{token}"
     members = Members(tuple(f"{name}#{identity_suffix}" for name in founder_names))
     return RestoredStore(identity_suffix, Snapshot(index, 0, members, msgspec.json.encode(image)))
--- a/latchspoke/configstore/replica.py
+++ b/latchspoke/configstore/replica.py
@@ -98,6 +98,16 @@
         """Whether a read was confirmed since the start; before that the state may be stale."""
         return self.node.read_confirmed
 
+    @property
+    def is_leader(self) -> bool:
+        """Whether this process leads the replicated log."""
+        return self.node.is_leader and not self.unavailable
+
+    @property
+    def leader_name(self) -> str:
+        """Name of the leader's process, '' if it is unknown."""
+        return name_of(self.node.leader) if self.node.leader else ""
+
     @property
     def voters(self) -> set[str]:
         """Names of the voters."""
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -34,6 +34,7 @@
 )
 from latchspoke.controlplane.peers import Peers
 from latchspoke.controlplane.relays import GatewayRelays
+from latchspoke.controlplane.rollouts import RolloutController
 from latchspoke.controlplane.update_batcher import ServerUpdateBatcher
 from latchspoke.distribution.published_state import CommittedState, Subscriber, decode_entries
 from latchspoke.membership.protocol import MembershipEvent
@@ -122,6 +123,9 @@
         self.proof_running = False
         self.connected_since = self.started_at = self.clock.now()
         self.evacuations = EvacuationCallTracker(self.started_at)
+        self.rollouts = RolloutController(
+            self.replica, s, self.clock.now, self.peers.send, self.live_gateways, self.spawn, self.respond
+        )
         self.handlers: dict[str, Callable[[ApiCall, bytes, Caller], Response | Awaitable[Response]]] = {
             "instances.heartbeat": lambda call, body, caller: self.handle_heartbeat(call.subject, body),
             "instances.deregister": lambda call, body, caller: self.handle_deregistration(call.subject),
@@ -130,6 +134,9 @@
             "configuration.read": lambda call, body, caller: self.handle_configuration_read(),
             "evacuation.begin": lambda call, body, caller: self.handle_evacuation(call, caller),
             "evacuation.finish": lambda call, body, caller: self.handle_evacuation(call, caller),
+            "rollouts.begin": lambda call, body, caller: self.rollouts.handle_begin(body, caller),
+            "rollouts.read": lambda call, body, caller: self.rollouts.handle_read(call.subject),
+            "rollouts.revert": lambda call, body, caller: self.rollouts.handle_revert(call.subject),
             "GET /resolution": lambda call, body, caller: self.resolve_gateways(call),
             "GET /status": lambda call, body, caller: self.show_view("status"),
             "GET /metrics": lambda call, body, caller: self.show_view("metrics"),
@@ -148,19 +155,23 @@
     def store_applied(self, stored: StoredState) -> None:
         """The replicated store has applied committed commands; only committed state is published."""
         self.evacuations.record_applied(stored, self.clock.now(), self.replica.read_confirmed)
+        self.rollouts.record_applied(stored)
         if self.replica.read_confirmed:
             self.publish_committed()
 
     def publish_committed(self) -> None:
         """Publish the newest committed state to gateways, unless they have it."""
         stored = self.replica.state
-        committed = CommittedState(stored.index, stored.version, stored.document, stored.evacuated)
+        committed = CommittedState(
+            stored.index, stored.version, stored.document, stored.evacuated, dict(stored.rollouts)
+        )
         if self.published_state.update_committed(committed, self.clock.now()):
             log(
                 "orders",
                 version=f"{committed.version:08x}",
                 index=committed.index,
                 evacuated=",".join(sorted(committed.evacuated)),
+                rollouts=",".join(f"{name}:{record.state}" for name, record in committed.rollouts.items()),
             )
 
     def handle_proof_request(self, connection: MessageConnection, proof_id: int) -> None:
@@ -257,6 +268,9 @@
                 self.send_requested_servers(name, message, now)
             case "moved":
                 self.evacuations.merge(message, now)
+            case "rollouts":
+                reply(RECEIPT)
+                self.rollouts.handle_reports(message)
             case _:
                 return False
         return True
@@ -275,6 +289,8 @@
                     self.peers.topology.forwarding_nodes.add(connection.tag)
             case "hot":
                 self.handle_evidence(connection, message, now)
+            case "rollout":
+                self.rollouts.handle_report(message)
             case "hello":
                 self.publisher.handle_message(connection, message)
                 self.relays.add_gateway(connection)
@@ -597,6 +613,11 @@
         if change.member.meta.get("role") == "core" and change.kind in ("joined", "gone"):
             self.control_nodes_changed()
 
+    def live_gateways(self) -> list[str]:
+        """The names of the live gateways."""
+        members = self.membership_transport.membership.alive.values()
+        return [member.name for member in members if member.meta.get("role") == "edge"]
+
     def control_nodes_changed(self) -> None:
         """Pass the live control-plane nodes to the peer links and the replicated store."""
         alive = {
@@ -639,6 +660,7 @@
         changed = self.registry.sweep(now, detect_silence=now - self.connected_since > ISOLATION_GRACE_S)
         self.gateway_updates.add(changed, now)
         self.ledger.sweep(now)
+        self.rollouts.tick(now)
         if self.replica.read_confirmed and self.published_state.committed.index < self.replica.state.index:
             self.publish_committed()
         self.control_nodes_changed()
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -17,6 +17,7 @@
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.downstream import ClientConnection, Downstream
 from latchspoke.dataplane.relay import Relay
+from latchspoke.dataplane.rollout_reports import RolloutReports
 from latchspoke.dataplane.subscription import FIRST_PROOF_DIVISOR, Source, Subscription, member_sources
 from latchspoke.dataplane.upstream import UpstreamPools
 from latchspoke.dataplane.usage_reports import REPORT_INTERVAL_S, UsageReports
@@ -146,6 +147,7 @@
         self.relay = Relay(self.clock, self.is_control)
         self.subscription.on_relay = self.relay.handle_message
         self.examiner = OutlierDetector(settings.zone)
+        self.rollout_reports = RolloutReports(settings.name, self.instance_id, self.dispatcher)
         self.evidence_sent_at = -math.inf
         self.usage_reports = UsageReports(
             settings.name,
@@ -242,6 +244,7 @@
             self.apply_configuration(now)
         for entry in entries:
             self.apply_server(entry, now)
+        self.rollout_reports.proven(self.lease.proven_at)
         if self.subscription.follower.differing_pools:
             self.stats["pools.differ"] += 1
         self.update_readiness()
@@ -293,6 +296,12 @@
         if configuration.evacuated != self.balancer.evacuated:
             self.balancer.set_evacuated_zones(configuration.evacuated, now)
             log("evacuated", zones=",".join(sorted(configuration.evacuated)))
+        for service in self.rollout_reports.apply(configuration.rollouts, now):
+            record = configuration.rollouts[service]
+            log(
+                "rollout", service=service, target=record.target_version, state=record.state,
+                share=record.share, rollout=record.rollout_id, index=record.changed_index,
+            )  # fmt: skip
 
     def apply_server(self, entry: Entry, now: float) -> None:
         """Pass an update on a server to the balancer."""
@@ -301,7 +310,7 @@
         self.balancer.put(
             Upstream(
                 entry.instance_id, entry.service, host, int(port or 0), entry.zone, region, entry.slots,
-                UpstreamState(int(entry.state)), entry.cold_until, entry.silent,
+                UpstreamState(int(entry.state)), entry.cold_until, entry.silent, version=entry.version,
             ),
             now,
         )  # fmt: skip
@@ -360,6 +369,14 @@
             self.stats["evidence.told"] += len(evidence)
             connection.send({"k": "hot", "w": evidence})
 
+    def send_rollout_reports(self, now: float) -> None:
+        """Send due samples of rollouts to the control-plane node that this gateway follows."""
+        connection, source = self.subscription.connection, self.subscription.source
+        if connection is None or source is None or source.gateway:
+            return
+        for message in self.rollout_reports.due_messages(self.published_state.committed.index, now):
+            connection.send(message)
+
     def handle_proof_request(self, connection: MessageConnection, proof_id: int) -> None:
         """Another gateway without a control-plane node asks for a proof; ours is passed on with its age."""
         age = self.clock.now() - self.lease.proven_at
@@ -567,6 +584,7 @@
         )
         self.usage_reports.send_due_reports(now)
         self.send_evidence(now)
+        self.send_rollout_reports(now)
 
     def stop(self) -> None:
         """Stop being ready, so that clients go elsewhere; requests that still arrive are served."""
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -349,7 +349,11 @@
         forward, now = connection.forward, self.context.clock.now()
         assert forward is not None and connection.transport is not None
         upstream = connection.pool.upstream
-        gone = bool(upstream.state) or upstream.zone in self.balancer.evacuated
+        gone = (
+            bool(upstream.state)
+            or upstream.zone in self.balancer.evacuated
+            or self.balancer.versions.is_withdrawn(upstream, now)
+        )
         unwanted = forward.flow.closed or forward.deadline <= now
         if gone or unwanted or self.core.lease_expired(forward.flow):
             connection.forward = forward.connection = None
--- a/latchspoke/distribution/published_state.py
+++ b/latchspoke/distribution/published_state.py
@@ -1,4 +1,4 @@
-"""The published state: the committed configuration and evacuations, and the servers. No I/O.
+"""The published state: the committed configuration, evacuations and rollouts, and the servers. No I/O.
 
 Changes carry sequence numbers; a subscriber that has missed one requests a full snapshot. Control-plane nodes
 publish to gateways, and a gateway publishes to gateways that cannot reach a control-plane node.
@@ -15,6 +15,7 @@
 import msgspec
 
 from latchspoke.registry.registry import Entry, Registry
+from latchspoke.version_rollouts.records import RolloutRecord, decode_records, encode_records
 
 Message = dict[str, Any]
 Document = dict[str, Any]
@@ -63,12 +64,20 @@
 
 
 class CommittedState(msgspec.Struct):
-    """The configuration and the evacuated zones as of an index of the replicated log (0: none yet)."""
+    """The operator's orders as of an index of the replicated log (0: none yet)."""
 
     index: int = 0
     version: int = 0
     document: Document | None = None
     evacuated: frozenset[str] = frozenset()
+    rollouts: dict[str, RolloutRecord] = {}  # the newest of each service
+
+    def order_fields(self) -> Message:
+        """The message fields for evacuations and rollouts."""
+        fields: Message = {"evac": sorted(self.evacuated)}
+        if self.rollouts:
+            fields["rollouts"] = encode_records(self.rollouts)
+        return fields
 
 
 class Subscriber(msgspec.Struct, eq=False):
@@ -122,8 +131,7 @@
             "n": self.sequence_number,
             "index": committed.index,
             "version": committed.version,
-            "evac": sorted(committed.evacuated),
-        }
+        } | committed.order_fields()
         snapshot |= encode_entries(self.registry.snapshot(now), subscriber.supports_compression)
         subscriber.send(snapshot | self.document_update(subscriber.version) | self.pool_versions_field())
 
@@ -192,8 +200,7 @@
             "k": "orders",
             "index": new.index,
             "version": new.version,
-            "evac": sorted(new.evacuated),
-        }
+        } | new.order_fields()
         if new.document is not None:
             self.past_documents.pop(new.version, None)
             self.past_documents[new.version] = new.document
@@ -298,7 +305,8 @@
             if version != old.version:
                 raise GapError(f"version {version} arrived without its document")
             document = old.document
-        return CommittedState(index, version, document, frozenset(message["evac"]))
+        rollouts = decode_records(message.get("rollouts", {}))
+        return CommittedState(index, version, document, frozenset(message["evac"]), rollouts)
 
     def expire_missing(self, now: float, retention_s: float) -> list[Entry]:
         """Mark servers as gone that the publisher has not known for this time (s); returns them."""
--- a/latchspoke/registry/registry.py
+++ b/latchspoke/registry/registry.py
@@ -81,6 +81,8 @@
                 fields["c"] = round(self.cold_until - now, 3)
             if self.silent:
                 fields["x"] = 1
+            if self.version:
+                fields["v"] = self.version
         return fields
 
 
@@ -126,7 +128,8 @@
         if old.expired and new.state is not State.GONE and new.sequence > old.sequence:
             self.entries[new.instance_id] = new
             return new, True
-        changed = False
+        changed = bool(new.version and not old.version)  # first known from a release that did not send it
+        old.version = old.version or new.version
         if new.expired and new.sequence < old.sequence:
             return old, False
         if new.state > old.state:
@@ -201,7 +204,8 @@
                 str(fields["i"]), str(fields.get("s", "")), str(fields.get("a", "")),
                 str(fields.get("z", "")),
                 int(fields.get("n", 1)), state, int(fields["q"]), now + cold_remaining_s,
-                now - float(fields.get("g", 0.0)), bool(fields.get("x", 0)), expired=bool(fields.get("l", 0)),
+                now - float(fields.get("g", 0.0)), bool(fields.get("x", 0)),
+                version=str(fields.get("v", "")), expired=bool(fields.get("l", 0)),
             )  # fmt: skip
         except (KeyError, TypeError, ValueError) as error:
             raise HeartbeatError(f"invalid server entry: {error!r}") from None
--- a/tests/compatibility/test_recorded_exchanges.py
+++ b/tests/compatibility/test_recorded_exchanges.py
@@ -338,9 +338,13 @@
         "s1#life", "shop", "10.2.0.1:9000", "zone-a", 4, State.DRAINING, 31, 62.5, 50.0, version="v7"
     )
     assert entry == expected
-    assert json_text(entry.to_message(51.25)) == texts["server"]
+    # The version is sent on since there are rollouts; earlier releases ignore unknown fields.
+    assert entry.to_message(51.25).pop("v") == "v7"
+    assert json_text(msgspec.structs.replace(entry, version="").to_message(51.25)) == texts["server"]
     read = Registry(1.0).parse_entry(msgspec.json.decode(texts["server"]), 51.25)
-    assert read == msgspec.structs.replace(expected, version="")  # not sent on to other nodes
+    assert read == msgspec.structs.replace(expected, version="")
+    read = Registry(1.0).parse_entry(entry.to_message(51.25), 51.25)
+    assert read == expected
 
 
 # The publication to gateways.
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -27,6 +27,7 @@
 from latchspoke.lab.virtual_run import VirtualClock
 from latchspoke.membership.messages import Member
 from latchspoke.transport.http_server import LOCAL_CALLER
+from latchspoke.version_rollouts.records import RolloutRecord
 from tests.configuration.documents import sample_document
 from tests.settings.test_node import make_settings
 
@@ -37,6 +38,8 @@
     def __init__(self, *args: Any, catch_up: float) -> None:
         self.active_evacuations: dict[str, int] = {}
         self.evacuation_index: dict[str, int] = {}
+        self.rollouts: dict[str, RolloutRecord] = {}
+        self.is_leader, self.leader_name = False, ""
         self.state = self.build_state(0, 0, None)
         self.read_confirmed, self.verdict = True, Verdict(TAKEN)
         self.commands: list[dict[str, Any]] = []
@@ -58,7 +61,7 @@
                 zone: (self.evacuation_index.get(zone, 0), count)
                 for zone, count in self.active_evacuations.items()
             },
-            evacuation_count=lambda zone: self.active_evacuations.get(zone, 0),
+            evacuation_count=lambda zone: self.active_evacuations.get(zone, 0), rollouts=self.rollouts,
         )  # fmt: skip
 
     def start(self) -> None:
