Let signals that come in series share one call, so that they can't starve the loop

A process that got SIGHUP 5,000 times a second after SIGTERM did not end within 10 s: each signal queued a call of its own, and each call read and parsed the settings file. Signals that arrive before the callback has run now share it; the last one is never lost.

--- a/latchspoke/net/signals.py
+++ b/latchspoke/net/signals.py
@@ -18,8 +18,25 @@
 def set_signal_handler(
     loop: asyncio.AbstractEventLoop, number: signal.Signals, callback: Callable[[], object]
 ) -> None:
-    """Call ``callback`` in the loop for each such signal; replaces an earlier handler."""
-    signal.signal(number, lambda *_: loop.call_soon_threadsafe(callback))
+    """Call ``callback`` in the loop on such a signal; replaces an earlier handler.
+
+    Signals that arrive before the callback has run share one call, so that a series of them can't starve the
+    loop.
+    """
+    pending = False
+
+    def run_callback() -> None:
+        nonlocal pending
+        pending = False
+        callback()
+
+    def on_signal(*_: object) -> None:
+        nonlocal pending
+        if not pending:
+            pending = True
+            loop.call_soon_threadsafe(run_callback)
+
+    signal.signal(number, on_signal)
     signal.siginterrupt(number, False)
 
 
