Show rollouts to operators, and try more of a service that has little traffic

The trial now takes the exposure bound's summand into account where all gateways report little traffic, and needs 50 requests.

--- a/latchspoke/controlplane/rollouts.py
+++ b/latchspoke/controlplane/rollouts.py
@@ -18,7 +18,8 @@
 from latchspoke.transport.connection import Message
 from latchspoke.transport.http_server import Caller, Response
 from latchspoke.transport.log import log
-from latchspoke.version_rollouts.judge import Advance, Decision, RolloutJudge
+from latchspoke.version_rollouts.formatting import rollout_view
+from latchspoke.version_rollouts.judge import Advance, Decision, ExposureBound, RolloutJudge
 from latchspoke.version_rollouts.records import (
     RolloutOrder,
     RolloutRecord,
@@ -31,7 +32,7 @@
 from latchspoke.version_rollouts.samples import GatewayReport, SamplePool
 
 DEFAULT_EXPOSURE_SHARE = 0.1
-TRIAL_FRACTION = 0.8  # of ``exposureShare``: the rest is for chance, and for the time until it is reverted
+DEFAULT_EXPOSURE_SLACK = 50.0
 STORE_TIMEOUT_S = 0.85  # for a request to the replicated store
 DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an order
 RESEND_INTERVAL_S = 2.0  # all reports are passed on again, as a message may be lost
@@ -82,6 +83,10 @@
         self.store, self.settings, self.clock = store, settings, clock
         self.send_to_peer, self.live_gateways, self.spawn = send_to_peer, live_gateways, spawn
         self.respond = respond
+        self.exposure = ExposureBound(
+            settings.bound("exposureShare", DEFAULT_EXPOSURE_SHARE),
+            settings.bound("exposureSlack", DEFAULT_EXPOSURE_SLACK),
+        )
         self.pools: dict[str, SamplePool] = {}  # by service, of unfinished rollouts
         self.judges: dict[str, RolloutJudge] = {}  # by service, at the leader
         self.known_since: dict[int, float] = {}  # by rollout ID, by the clock of this process
@@ -106,8 +111,8 @@
         record = self.store.state.rollouts.get(order.service)
         if record is not None and self.is_repeat(order, record):
             return 200, {"state": record.state, "targetVersion": record.target_version}
-        share = TRIAL_FRACTION * self.settings.bound("exposureShare", DEFAULT_EXPOSURE_SHARE)
-        command = begin_command(order, record.rollout_id if record is not None else 0, share)
+        previous_id = record.rollout_id if record is not None else 0
+        command = begin_command(order, previous_id, self.exposure.trial_share())
         return await self.respond(command, await self.store.submit(command, STORE_TIMEOUT_S))
 
     def unknown_service(self, order: RolloutOrder) -> Response | None:
@@ -147,6 +152,14 @@
         command = end_command(service, record.rollout_id, RolloutState.REVERTED, "ordered by an operator")
         return await self.respond(command, await self.store.submit(command, STORE_TIMEOUT_S))
 
+    def view(self) -> dict[str, dict[str, Any]]:
+        """All rollouts by service, for operators."""
+        now = self.clock()
+        return {
+            service: rollout_view(record, self.pools.get(service), now)
+            for service, record in self.store.state.rollouts.items()
+        }
+
     # Committed state.
 
     def record_applied(self, state: ConfigState) -> None:
@@ -210,7 +223,7 @@
             record = self.store.state.rollouts[service]
             judge = self.judges.get(service)
             if judge is None or judge.rollout_id != record.rollout_id:
-                judge = self.judges[service] = RolloutJudge(record)
+                judge = self.judges[service] = RolloutJudge(record, self.exposure)
             elapsed_s = max(now - self.known_since_of(record), pool.age(now))
             if service not in self.submitting and record.in_progress:
                 decision = judge.decide(record, pool, gateways, elapsed_s, now)
--- a/latchspoke/controlplane/view.py
+++ b/latchspoke/controlplane/view.py
@@ -97,6 +97,7 @@
         "index": stored.index,
         "told_index": node.published_state.committed.index,
         "evacuated": sorted(stored.evacuated),
+        "rollouts": node.rollouts.view(),
         "register": node.replica.status(),
         "peers_connected": node.peers.connected_count,
         "members": members_view(node),
@@ -132,6 +133,12 @@
         states[key] = states.get(key, 0) + 1
     for (service, state), count in sorted(states.items()):
         server_family.add(count, service=service, state=state)
+    rollout_family = MetricFamily("latchspoke_rollout", "1 for each rollout, by its state.")
+    share_family = MetricFamily("latchspoke_rollout_share", "Share of the requests for the target version.")
+    for service, rollout in sorted(view["rollouts"].items()):
+        labels = {"service": service, "target": rollout["target_version"]}
+        rollout_family.add(1, **labels, state=rollout["state"])
+        share_family.add(rollout["share"], **labels)
     following = [member for member in view["members"] if member.get("follows_here")]
     return render(
         [
@@ -164,6 +171,8 @@
             ),
             member_family,
             server_family,
+            rollout_family,
+            share_family,
         ]
     )
 
--- a/latchspoke/ctl/app.py
+++ b/latchspoke/ctl/app.py
@@ -35,6 +35,7 @@
 )
 check_app = App(name="check", help="Check a file and list every fault with its path and reason.")
 config_app = App(name="config", help="The operator's configuration: read, change, compare.")
+version_app = App(name="version", help="Roll out a new version of a service's servers.")
 evacuate_app = App(name="evacuate", help="Evacuate a zone, or end its evacuation.")
 store_app = App(name="store", help="The store of a control-plane node: check, copy, restore from a copy.")
 caller_app = App(
@@ -44,7 +45,16 @@
     name="rollout",
     help="Roll-outs: move a route to another service in steps, depending on failures and latency.",
 )
-for subcommand in (check_app, config_app, evacuate_app, store_app, pool_app, caller_app, rollout_app):
+for subcommand in (
+    check_app,
+    config_app,
+    evacuate_app,
+    store_app,
+    pool_app,
+    caller_app,
+    rollout_app,
+    version_app,
+):
     app.command(subcommand)
 
 
@@ -675,6 +685,42 @@
     return exit_codes[result.outcome]
 
 
+# Versions of servers.
+
+
+@version_app.command(name="begin")
+def version_begin(
+    service: str,
+    target: Annotated[str, Parameter(help="The version, as its servers report it.")],
+    *,
+    duration_s: Annotated[float, Parameter(help="Time within which it is to serve all requests.")] = 300.0,
+    where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE,
+) -> int:
+    """Move a service to the target version, judged by what its servers answer; bad ones are reverted."""
+    order = {"service": service, "targetVersion": target, "durationS": duration_s}
+    message = f"{target} of {service} is being rolled out"
+    return submit_command(where, "rollouts.begin", json.dumps(order).encode(), message)
+
+
+@version_app.command(name="show")
+def version_show(service: str = "", *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
+    """State, share, samples and reason of the newest rollout of a service, or of all."""
+    from latchspoke.version_rollouts.formatting import format_rollout
+
+    views = query_control_plane(where, "/status").body["rollouts"]
+    chosen = {name: view for name, view in views.items() if service in ("", name)}
+    if service and not chosen:
+        raise CommandError(INVALID, f"there was no rollout of {service!r:.60}")
+    text = "\n".join(format_rollout(name, view) for name, view in sorted(chosen.items()))
+    return print_result(where, text or "there was no rollout", {"rollouts": chosen})
+
+
+@version_app.command(name="revert")
+def version_revert(service: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
+    """Revert the unfinished rollout of a service: its target version gets nothing more."""
+    return submit_command(where, "rollouts.revert", b"", f"{service} is back at its old version", service)
+
+
 # Zones.
 
 
--- a/latchspoke/dataplane/view.py
+++ b/latchspoke/dataplane/view.py
@@ -125,6 +125,11 @@
         "acts_by": f"{table.version:08x}" if table is not None else None,
         "index": configuration.index,
         "evacuated": sorted(configuration.evacuated),
+        "rollouts": {
+            service: {"target": rule.target_version, "phase": rule.phase.value, "share": rule.share}
+            for service, rule in node.balancer.versions.rules.items()
+        },
+        "rollouts_trusted_s": remaining(node.balancer.versions.trusted_until, now),
         "lease": {
             "held": now < lease.expires_at,
             "left_s": remaining(lease.expires_at, now),
--- a/latchspoke/reach/recorder.py
+++ b/latchspoke/reach/recorder.py
@@ -66,6 +66,8 @@
         found.append("draining")
     if upstream.zone in stock.evacuated:
         found.append("evacuated")
+    if stock.versions.is_withdrawn(upstream, now):
+        found.append("withdrawn")
     if now < upstream.backoff_until:
         found.append("unreachable")
     if now < upstream.full_until:
--- a/latchspoke/version_rollouts/judge.py
+++ b/latchspoke/version_rollouts/judge.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Collection
 
@@ -35,10 +36,15 @@
 MAX_DOUBT = 0.5  # probability that it is worse, from its own samples alone, with which the share is raised
 WINDOW_S = 2.5  # over which the latest samples are judged by themselves
 MIN_WINDOW_BASELINE = 50  # attempts at other versions; with fewer, those of the whole rollout are used
-MIN_TRIAL_REQUESTS = 30  # at the target version, before its share is raised
+MIN_TRIAL_REQUESTS = 50  # at the target version, before its share is raised
 SHIFT_LEAD_S = 2.7  # before the end of the duration, for all requests to move and the operator to learn of it
 SHIFT_LEAD_FRACTION = 0.1  # of a long duration
 MIN_TRIAL_FRACTION = 0.4  # of a short duration
+TRIAL_FRACTION = 0.8  # of the exposure bound: the rest is for chance, and for the time until a revert
+MAX_TRIAL_SHARE = 0.3
+MIN_TRIAL_INCREASE = 1.25  # a smaller one is not worth a step
+MIN_HEARD_FRACTION = 0.9  # of the live gateways, for the traffic to be told
+TRAFFIC_KNOWN_S = 2.0  # after the order, until the traffic can be told
 RAMP_SHARE = 0.4  # for a moment between the trial and the full share, so that connections are opened
 RAMP_S = 0.5
 FULL_SHARE_S = 0.7  # at full load, before the rollout is completed
@@ -48,6 +54,17 @@
 FINAL_WAIT_S = 3.0  # after the duration, until attempts that can't be repeated are waited for no longer
 
 
+class ExposureBound(msgspec.Struct, frozen=True):
+    """How many requests may reach a bad version: a share of all, and a number on top."""
+
+    share: float
+    slack: float
+
+    def trial_share(self, expected_requests: float = math.inf) -> float:
+        """The share for the trial, if so many requests are expected; larger where there are few."""
+        return min(TRIAL_FRACTION * (self.share + self.slack / expected_requests), MAX_TRIAL_SHARE)
+
+
 class Advance(msgspec.Struct, frozen=True):
     """Raise the share of the target version."""
 
@@ -98,8 +115,8 @@
 class RolloutJudge:
     """The judge of one rollout."""
 
-    def __init__(self, record: RolloutRecord) -> None:
-        self.rollout_id = record.rollout_id
+    def __init__(self, record: RolloutRecord, exposure: ExposureBound) -> None:
+        self.rollout_id, self.exposure = record.rollout_id, exposure
         self.history: deque[tuple[float, Totals]] = deque()  # the last WINDOW_S, oldest first
         self.shift_known_at: float | None = None  # when the full share was first seen
 
@@ -114,7 +131,9 @@
             return End(RolloutState.REVERTED, str(verdict))
         if record.shifted:
             return self.decide_completion(record, pool, gateways, elapsed_s, now)
-        return self.decide_share(record, totals, elapsed_s)
+        return self.decide_share(record, totals, elapsed_s) or self.widen_trial(
+            record, pool, gateways, elapsed_s, now
+        )
 
     def recent_totals(self, totals: Totals, now: float) -> Totals:
         """What was counted in the last ``WINDOW_S``."""
@@ -139,6 +158,25 @@
             return End(RolloutState.REVERTED, f"too few requests to tell: {doubt}") if overdue else None
         return Advance(share, f"no fault in {tried} requests")
 
+    def widen_trial(
+        self, record: RolloutRecord, pool: SamplePool, gateways: Collection[str], elapsed_s: float, now: float
+    ) -> Decision | None:
+        """Whether there is so little traffic that more of it may go to the target version.
+
+        Done once, and only while nearly all gateways report: the traffic of a silent one is not known.
+        """
+        heard = len(pool.fresh_reports(now - REPORT_TTL_S).keys() & set(gateways))
+        if elapsed_s < TRAFFIC_KNOWN_S or heard < MIN_HEARD_FRACTION * len(gateways):
+            return None
+        seen = sum(counts[0] for counts in pool.totals().values())
+        usual_share = self.exposure.trial_share()
+        if not seen or record.share > usual_share:
+            return None
+        share = self.exposure.trial_share(seen / elapsed_s * record.duration_s)
+        if share < MIN_TRIAL_INCREASE * usual_share:
+            return None
+        return Advance(share, f"{seen / elapsed_s:.0f} requests a second")
+
     def decide_completion(
         self,
         record: RolloutRecord,
--- a/latchspoke/version_rollouts/simulation.py
+++ b/latchspoke/version_rollouts/simulation.py
@@ -12,12 +12,12 @@
 from dataclasses import dataclass, field
 
 from latchspoke.version_rollouts import records
-from latchspoke.version_rollouts.judge import Advance, RolloutJudge
+from latchspoke.version_rollouts.judge import Advance, ExposureBound, RolloutJudge
 from latchspoke.version_rollouts.records import RolloutOrder, RolloutRecord, RolloutState
 from latchspoke.version_rollouts.samples import OTHER_VERSIONS, GatewayReport, SamplePool, SampleRow
 
 TICK_S = 0.25
-TRIAL_SHARE = 0.08
+EXPOSURE = ExposureBound(0.1, 50.0)
 SERVICE = "saldo"
 
 
@@ -114,14 +114,14 @@
             for version in ("old", "new")
         }
         order = RolloutOrder(SERVICE, "v2", scenario.duration_s)
-        record = records.begin(None, 1, records.begin_command(order, 0, TRIAL_SHARE))
+        record = records.begin(None, 1, records.begin_command(order, 0, EXPOSURE.trial_share()))
         assert record is not None
         self.record: RolloutRecord = record
         self.target_requests = self.all_requests = self.bad_answers = 0
 
     def run(self) -> Result:
         """Play until the rollout has ended."""
-        pool, judge = SamplePool(self.record.rollout_id), RolloutJudge(self.record)
+        pool, judge = SamplePool(self.record.rollout_id), RolloutJudge(self.record, EXPOSURE)
         scenario, now, changed = self.scenario, 0.0, False
         names = [gateway.name for gateway in self.gateways]
         restarts = iter(self.restart_times())
@@ -136,7 +136,7 @@
                 next_restart = next(restarts, None)
             if scenario.leader_change_s is not None and now >= scenario.leader_change_s and not changed:
                 old, changed = pool, True
-                pool, judge = SamplePool(self.record.rollout_id), RolloutJudge(self.record)
+                pool, judge = SamplePool(self.record.rollout_id), RolloutJudge(self.record, EXPOSURE)
                 old.resend_all()
                 for report in old.take_unsent():
                     pool.merge(report, now)
@@ -195,6 +195,9 @@
     "good, 20% of all servers fail 40%": lambda: Scenario(trouble=Trouble(0.2, 0.4, 4.0, 9.0)),
     "good, half of all servers lose 5%": lambda: Scenario(trouble=Trouble(0.5, 0.05, 4.0, 9.0)),
     "good, little traffic": lambda: Scenario(requests_per_s=180.0, servers=31),
+    "errors 33%, 60 requests/s": lambda: Scenario(
+        Version(failing=0.33), requests_per_s=60.0, servers=12, duration_s=18.0
+    ),
     "errors 33%": lambda: Scenario(Version(failing=0.33)),
     "errors 15%": lambda: Scenario(Version(failing=0.15)),
     "errors 15%, little traffic": lambda: Scenario(Version(failing=0.15), requests_per_s=180.0, servers=31),
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -24,6 +24,9 @@
 from latchspoke.consensus.records import Stored
 from latchspoke.ctl import app, client
 from latchspoke.ctl.client import Reply
+from latchspoke.version_rollouts.formatting import rollout_view
+from latchspoke.version_rollouts.records import RolloutRecord, RolloutState
+from latchspoke.version_rollouts.samples import GatewayReport, SamplePool, SampleRow
 from tests.ctl.nodes import CONFIGURATION, KEY, SETTINGS, gateway_node
 
 FakeAnswer = tuple[int, Any] | str
@@ -223,6 +226,30 @@
     assert "00000007  d" in run("config", "history")[1]
 
 
+def test_new_version_is_ordered_shown_and_reverted(run: Run, system: FakeSystem) -> None:
+    system.respond("/rpc?call=rollouts.begin", "silent", (200, {}))
+    code, text = run("version", "begin", "books", "v2", "--duration-s", "60")
+    assert (code, text) == (0, "v2 of books is being rolled out\n")
+    order = {"service": "books", "targetVersion": "v2", "durationS": 60.0}
+    assert [json.loads(body) for _, body in system.sent] == [order] * 2
+    system.respond("/rpc?call=rollouts.begin", (412, {"errorText": "a rollout to 'v3' is in_progress"}))
+    assert run("version", "begin", "books", "v2")[0] == 4
+    record = RolloutRecord(7, "v2", 60.0, RolloutState.IN_PROGRESS, 0.08, 7)
+    pool = SamplePool(7)
+    rows = [SampleRow("", "r-all", 900, 1, 890, 9), SampleRow("b7", "r-all", 80, 2, 70, 1)]
+    pool.merge(GatewayReport("books", 7, "edge-a-1", "l1", 12.0, 7, 0, 0, rows), 100.0)
+    system.respond("/status", (200, {"rollouts": {"books": rollout_view(record, pool, 100.5)}}))
+    assert run("version", "show")[1].splitlines() == [
+        "books: v2 is in_progress, 8% of the requests",
+        "  12.5 of 60 s, 1 gateways have reported on 1 servers",
+        "  r-all                target       80 ended, 2 failed, 1 of 70 late",
+        "  r-all                others      900 ended, 1 failed, 9 of 890 late",
+    ]
+    assert run("version", "show", "till")[0] == 3
+    system.respond("/rpc?call=rollouts.revert&of=books", (200, {}))
+    assert run("version", "revert", "books") == (0, "books is back at its old version\n")
+
+
 def test_modify_on_current_sets_the_version_and_checks_the_result(
     run: Run, system: FakeSystem, tmp_path: Path
 ) -> None:
--- a/tests/version_rollouts/test_judge.py
+++ b/tests/version_rollouts/test_judge.py
@@ -5,13 +5,13 @@
 import msgspec
 import pytest
 
-from latchspoke.version_rollouts.judge import Advance, End, RolloutJudge, trial_end
+from latchspoke.version_rollouts.judge import Advance, End, ExposureBound, RolloutJudge, trial_end
 from latchspoke.version_rollouts.records import FULL_SHARE, RolloutRecord, RolloutState
 from latchspoke.version_rollouts.samples import GatewayReport, SamplePool, SampleRow
 from latchspoke.version_rollouts.simulation import SCENARIOS, Simulation
 
 DURATION_S = 15.0
-EXPOSURE_SHARE, EXPOSURE_SLACK = 0.1, 50
+EXPOSURE = ExposureBound(0.1, 50.0)
 OPERATOR_POLL_S = 1.0  # the operator must read the state before the end of the duration
 
 GOOD = ("good", "good, half of all servers lose 5%", "good, leader changes, 10 restarts")
@@ -31,13 +31,13 @@
 def test_bad_version_is_reverted_within_the_exposure_bound(name: str, seed: int) -> None:
     result = Simulation(SCENARIOS[name](), seed).run()
     assert result.state is RolloutState.REVERTED
-    assert result.target_requests <= EXPOSURE_SHARE * result.all_requests + EXPOSURE_SLACK
+    assert result.target_requests <= EXPOSURE.share * result.all_requests + EXPOSURE.slack
     assert result.bad_answers < 50
 
 
 RECORD = RolloutRecord(7, "v2", DURATION_S, RolloutState.IN_PROGRESS, 0.08, 7)
 SHIFTED = msgspec.structs.replace(RECORD, share=FULL_SHARE, changed_index=9)
-GOOD_ROWS = [SampleRow("", "r", 900, 2, 900, 9), SampleRow("n1", "r", 40, 0, 40, 0)]
+GOOD_ROWS = [SampleRow("", "r", 900, 2, 900, 9), SampleRow("n1", "r", 60, 0, 60, 0)]
 
 
 def report(
@@ -54,7 +54,7 @@
     assert not pool.merge(report("g1", 1.0, [SampleRow("n1", "r", 10, 10, 0, 0)]), 2.2)
     assert not pool.merge(report("g1", 9.0, rollout_id=6), 2.3)  # a frozen gateway's word on an earlier one
     assert pool.merge(report("g1", 0.5, [SampleRow("n1", "r", 5, 0, 5, 0)], life="b"), 3.0)
-    assert pool.totals() == {("", "r"): (900, 2, 900, 9), ("n1", "r"): (45, 0, 45, 0)}
+    assert pool.totals() == {("", "r"): (900, 2, 900, 9), ("n1", "r"): (65, 0, 65, 0)}
 
 
 def test_reports_are_passed_on_once_and_again_to_another_leader() -> None:
@@ -76,7 +76,7 @@
 
 
 def test_share_is_raised_late_and_only_with_enough_samples() -> None:
-    pool, judge = SamplePool(7), RolloutJudge(RECORD)
+    pool, judge = SamplePool(7), RolloutJudge(RECORD, EXPOSURE)
     end_s = trial_end(DURATION_S)
     assert decide(RECORD, pool, end_s, judge) is None  # nothing has reached the version
     pool.merge(report("g1", 1.0), 1.0)
@@ -85,13 +85,33 @@
     assert isinstance(decision, Advance) and decision.share == FULL_SHARE
 
 
+def test_trial_is_wider_once_where_all_gateways_report_little_traffic() -> None:
+    """A new leader took the reports that it had for all of them, and widened the trial again."""
+    assert EXPOSURE.trial_share() == pytest.approx(0.08)
+    few, wider = 90, 0.8 * (0.1 + 50 / 900)
+    widened = msgspec.structs.replace(RECORD, share=wider)
+    for record, seen, gateways, expected in (
+        (RECORD, 4500, ("g1", "g2"), None),
+        (RECORD, few, ("g1",), None),
+        (RECORD, few, ("g1", "g2"), wider),
+        (widened, few // 2, ("g1", "g2"), None),
+    ):
+        pool = SamplePool(7)
+        for gateway in gateways:
+            pool.merge(report(gateway, 2.9, [SampleRow("", "r", seen, 0, seen, 0)]), 3.0)
+        decision = decide(record, pool, 3.0, RolloutJudge(record, EXPOSURE))
+        assert decision is None if expected is None else isinstance(decision, Advance)
+        if isinstance(decision, Advance):
+            assert decision.share == pytest.approx(expected)
+
+
 def test_version_that_nothing_reaches_is_reverted_some_time_after_its_duration() -> None:
-    decision = decide(RECORD, SamplePool(7), 1.5 * DURATION_S, RolloutJudge(RECORD))
+    decision = decide(RECORD, SamplePool(7), 1.5 * DURATION_S, RolloutJudge(RECORD, EXPOSURE))
     assert isinstance(decision, End) and decision.state is RolloutState.REVERTED
 
 
 def completion(pool: SamplePool, elapsed_s: float) -> object:
-    judge = RolloutJudge(SHIFTED)
+    judge = RolloutJudge(SHIFTED, EXPOSURE)
     decide(SHIFTED, SamplePool(7), elapsed_s - 1.0, judge)  # the full share is known since then
     return decide(SHIFTED, pool, elapsed_s, judge)
 
