--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -56,6 +56,8 @@
 ISOLATION_GRACE_S = 3.5  # after reconnecting to a peer, before missing heartbeats count against servers
 EVIDENCE_DELAY_S = 0.1  # collects the gateways' evidence on servers before it is sent on
 EVIDENCE_RETRY_DELAY_S = 0.3  # until evidence that changed too little to be sent is checked again
+# Before an unclear call is rejected; a caller that is sent away just before it is clear may be back too late.
+UNCLEAR_WAIT_S = 0.5
 DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an evacuation call
 RESOLUTION_TTL_S = 1.0  # how long clients cache a gateway look-up
 MAX_CHECK_ATTEMPTS = 3  # a patch is checked again when its base version has changed meanwhile
@@ -587,13 +589,17 @@
         zone, is_begin = call.subject, call.name.endswith("begin")
         if zone not in self.settings.regions_by_zone:
             return 400, {"errorText": f"zone {zone[:60]!r} is not known"}
-        if await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
-            return 503, {"errorText": "no majority can be reached"}
-        if caller.gone:
-            return 503, {"errorText": "the caller has left"}
-        stored, ack_s = self.replica.state, self.settings.bound("ackS", DEFAULT_ACK_TIMEOUT_S)
-        call_kind = self.evacuations.classify(zone, is_begin, stored, ack_s, self.clock.now())
-        if call_kind is CallKind.UNCLEAR:
+        for wait_s in (UNCLEAR_WAIT_S, 0.0):
+            if await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
+                return 503, {"errorText": "no majority can be reached"}
+            if caller.gone:
+                return 503, {"errorText": "the caller has left"}
+            stored, ack_s = self.replica.state, self.settings.bound("ackS", DEFAULT_ACK_TIMEOUT_S)
+            call_kind = self.evacuations.classify(zone, is_begin, stored, ack_s, self.clock.now())
+            if call_kind is not CallKind.UNCLEAR:
+                break
+            await asyncio.sleep(wait_s)
+        else:
             return 503, {"errorText": "another evacuation of it was taken back a moment ago: send it again"}
         command: dict[str, Any] = {"do": "evacuate" if is_begin else "restore", "zone": zone}
         if call_kind is CallKind.ANOTHER:
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -23,6 +23,7 @@
 )
 from latchspoke.controlplane import node
 from latchspoke.controlplane.calls import parse_call, select_gateways
+from latchspoke.controlplane.evacuations import REPEAT_WINDOW_FRACTION
 from latchspoke.lab.virtual import Network, VirtualLoop
 from latchspoke.lab.virtual_run import VirtualClock
 from latchspoke.membership.messages import Member
@@ -197,6 +198,19 @@
     assert send_evacuation_call(harness, "finish", 4.6, 0) == (200, {"do": "restore", "stand": 1})
 
 
+def test_unclear_finish_is_acknowledged_as_soon_as_it_is_clear(harness: NodeHarness) -> None:
+    """An operator sent away just before that came back after a longer pause, and later than ``ackS``."""
+    ack_s = harness.node.settings.bound("ackS", node.DEFAULT_ACK_TIMEOUT_S)
+    send_evacuation_call(harness, "begin", 0.0, 1)
+    send_evacuation_call(harness, "begin", ack_s, 2)
+    assert send_evacuation_call(harness, "finish", ack_s, 1)[0] == 200
+    clear_after_s = REPEAT_WINDOW_FRACTION * ack_s
+    assert send_evacuation_call(harness, "finish", clear_after_s - 0.4, 0) == (
+        200,
+        {"do": "restore", "stand": 1},
+    )
+
+
 @pytest.mark.parametrize(
     ("peer_message", "is_known"),
     [
