Let a followed gateway pass on the samples of those that follow it

A gateway that reaches no control-plane node follows another gateway; its samples of a rollout were dropped, and completion waited for it until shortly before the term. Test: the path of an order and of the samples through control-plane node and gateways.

--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -370,9 +370,9 @@
             connection.send({"k": "hot", "w": evidence})
 
     def send_rollout_reports(self, now: float) -> None:
-        """Send due samples of rollouts to the control-plane node that this gateway follows."""
-        connection, source = self.subscription.connection, self.subscription.source
-        if connection is None or source is None or source.gateway:
+        """Send due samples of rollouts to the source, which passes them on if it is a gateway."""
+        connection = self.subscription.connection
+        if connection is None:
             return
         for message in self.rollout_reports.due_messages(self.published_state.committed.index, now):
             connection.send(message)
@@ -468,9 +468,12 @@
     # Messages and calls.
 
     def handle_message(self, connection: MessageConnection, message: Message) -> None:
-        """A message of another gateway: usage reports, subscriptions or session records."""
+        """A message of another gateway: usage reports, samples, subscriptions or session records."""
         if message.get("k") in ("c", "counts", "heir"):
             self.usage_reports.handle_message(connection, message)
+        elif message.get("k") == "rollout":
+            if self.subscription.connection is not None:
+                self.subscription.connection.send(message)
         elif (
             not self.publisher.handle_message(connection, message)
             and self.session_affinity is not None
