Make sure that something changes while a gateway is cut off in the trial of a removed check

Traced to the trial: it needs a version that others act upon at least 1.58 s before the cut of 6 s ends, and left that to operators who change a random customer about each second. The check that the unchanged program passes is the same, over a longer cut.

--- a/latchspoke/lab/schedules/real_rules.py
+++ b/latchspoke/lab/schedules/real_rules.py
@@ -124,8 +124,15 @@
             self.versions[command.parent + 1] = self.told[command.parent + 1] = blocked
         return not done.why
 
-    async def operate(self, chance: random.Random, until: float) -> None:
-        """Somebody blocks a customer or lifts a block, about each second."""
+    async def operate(self, chance: random.Random, until: float, block_all_at: float | None = None) -> None:
+        """Somebody blocks a customer or lifts a block, about each second.
+
+        ``block_all_at``: all customers are blocked at this time, before anything else.
+        """
+        if block_all_at is not None:
+            await asyncio.sleep(max(block_all_at - clock(), 0.0))
+            while not await self.put(frozenset(CUSTOMERS)):
+                await asyncio.sleep(0.1)
         while clock() < until:
             now = self.versions[max(self.versions)]
             customer = chance.choice(CUSTOMERS)
@@ -220,8 +227,12 @@
     gates: int = 4,
     change: str = "",
     schedule: tuple[Fault, ...] | None = None,
+    block_all_at: float | None = None,
 ) -> Verdict:
-    """One schedule, drawn if none is given; the folder keeps what everybody wrote."""
+    """One schedule, drawn if none is given; the folder keeps what everybody wrote.
+
+    ``block_all_at``: see ``operate``; in s after the schedule's begin.
+    """
     one = RulesTrial(base, agents, 0, gates=gates, change=change)
     chance = random.Random(f"operators:{seed}")
     try:
@@ -229,7 +240,8 @@
         await one.found()
         began = clock()
         faults = draw(seed, agents, gates) if schedule is None else schedule
-        await asyncio.gather(one.play(faults), one.operate(chance, began + SPAN + 2.0))
+        block_all_at = None if block_all_at is None else began + block_all_at
+        await asyncio.gather(one.play(faults), one.operate(chance, began + SPAN + 2.0, block_all_at))
         since = time.monotonic()
         idle = [] if await one.settled() else ["not all agree after all was mended"]
         took = time.monotonic() - since
--- a/tests/agent/test_rules.py
+++ b/tests/agent/test_rules.py
@@ -369,11 +369,13 @@
 
 def test_fault_schedule_of_gateways_passes_and_detects_a_removed_check(tmp_path: Path) -> None:
     """One schedule; `latchspoke lab schedules --real --gates 4` runs more."""
-    faults = (Fault(1.0, "cut-gate", ("0",), 6.0), Fault(1.0, "kill-agent", ("1",), 1.0))
+    faults = (Fault(1.0, "cut-gate", ("0",), 10.0), Fault(1.0, "kill-agent", ("1",), 1.0))
     wrong = {}
     for change in ("", "unchecked"):
         (folder := tmp_path / (change or "as-it-is")).mkdir()
-        wrong[change] = asyncio.run(trial(folder, 2, schedule=faults, change=change)).wrong
+        # Something must change while the gateway is cut off, however busy the machine is.
+        verdict = asyncio.run(trial(folder, 2, schedule=faults, change=change, block_all_at=1.5))
+        wrong[change] = verdict.wrong
     assert not wrong[""], wrong
     assert any("contradicted for" in line for line in wrong["unchecked"]), wrong
 
