Let three members vote before the test of a full disk fills one

Traced: the test began as soon as a duty had a holder, which may be while only h1 and h2 vote; both are then needed for every command, and the third can't be promoted either. Shown with h3 started after the disk was full: 'no leader is heard here' for 25 s, voters h1 and h2. The test now waits for three voters, which is what it is about; the rest of it, and its bounds, are as they were.

--- a/tests/agent/test_duty_runner.py
+++ b/tests/agent/test_duty_runner.py
@@ -64,6 +64,12 @@
     return "" if tenure["why"] else str(tenure["holder"]).partition("#")[0]
 
 
+def voters(fleet: FleetHarness) -> int:
+    """How many members vote, as the first one that answers knows."""
+    output = query_members(fleet, "members", "list").get("members", [{}])
+    return len(output[0].get("voters", ()))
+
+
 def start_roll(fleet: FleetHarness) -> subprocess.Popen[str]:
     arguments = ["fleet", "roll", "--all", "--fleet", str(fleet.file), "--json"]
     return subprocess.Popen(
@@ -172,11 +178,7 @@
         host.tls = f'tls: {{listen: "127.0.0.1:{free_port()}", {keys.files(name)}}}'
     fleet.start()
 
-    def voters() -> int:
-        output = query_members(fleet, "members", "list").get("members", [{}])
-        return len(output[0].get("voters", ()))
-
-    wait_until(lambda: voters() == 2, "two members vote", voters)
+    wait_until(lambda: voters(fleet) == 2, "two members vote", lambda: voters(fleet))
     log = fleet.base / "h1.log"
     wait_until(
         lambda: "certificate is another" in log.read_text(),
@@ -184,7 +186,9 @@
         log.read_text,
     )
     keys.folder.write("h3", keys.issue("agent", "h3", ["127.0.0.1"]))
-    wait_until(lambda: voters() == 3, "the third votes with its renewed certificate", voters)
+    wait_until(
+        lambda: voters(fleet) == 3, "the third votes with its renewed certificate", lambda: voters(fleet)
+    )
 
 
 def test_full_disk_stops_a_member_but_not_its_agent(fleet: FleetHarness, tmp_path: Path) -> None:
@@ -192,6 +196,8 @@
     configure_members(fleet)
     fleet.start()
     wait_until(lambda: holder(fleet, "census"), "the duty has a holder")
+    # With two voters, both are needed for every command.
+    wait_until(lambda: voters(fleet) == 3, "three members vote", lambda: voters(fleet))
     host = fleet.hosts["h2"]
     assert host.process is not None
     resource.prlimit(host.process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
