Serve by the target version where no other version is left

An order for the version that all servers run already left 92% of the requests without a server: the trial sends all but its share to other versions.

--- a/barleyhub/line/versions.py
+++ b/barleyhub/line/versions.py
@@ -100,16 +100,14 @@
         groups = self.groups.get(service)
         if groups is None or groups.revision != revision or groups.rule is not rule:
             groups = self.groups[service] = self.partition(rule, usable, revision, evacuated)
-        match rule.phase:
-            case RolloutPhase.REVERTED:
-                return [groups.others]
-            case RolloutPhase.COMPLETED:
-                return [groups.target, groups.others]
-        if now >= self.trusted_until:
+        if rule.phase is RolloutPhase.REVERTED:
             return [groups.others]
-        if rule.phase is RolloutPhase.SHIFT:
+        if not groups.others:
+            return [groups.target]  # nothing else can serve, as where the target version served already
+        trusted = now < self.trusted_until
+        if rule.phase is RolloutPhase.COMPLETED or (rule.phase is RolloutPhase.SHIFT and trusted):
             return [groups.target, groups.others]
-        if draw is not None and draw < rule.share:
+        if trusted and draw is not None and draw < rule.share:
             return [groups.trial, groups.others]
         return [groups.others]
 
@@ -133,7 +131,10 @@
         rule = self.rules.get(upstream.service)
         if rule is None or upstream.version != rule.target_version:
             return False
-        return rule.phase is RolloutPhase.REVERTED or (rule.unfinished and now >= self.trusted_until)
+        if rule.phase is RolloutPhase.REVERTED:
+            return True
+        groups = self.groups.get(upstream.service)
+        return rule.unfinished and now >= self.trusted_until and (groups is None or bool(groups.others))
 
     def accepts_callers(self, upstream: Upstream, now: float) -> bool:
         """Whether requests of callers with affinity may go to the upstream."""
