--- a/latchspoke/ctl/app.py
+++ b/latchspoke/ctl/app.py
@@ -5,20 +5,42 @@
 import json
 import sys
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import urlencode
 
 from cyclopts import App, CycloptsError, Parameter
-from returns.result import Failure, Result, Success
-
-from latchspoke.configuration import Document, Fault
-from latchspoke.ctl import client, file_checks, formatting, masks
-from latchspoke.ctl.client import ControlPlaneClient, Reply
+from returns.result import Failure, Success
+
+from latchspoke.configuration import Document
+from latchspoke.ctl import client, common, file_checks, formatting, masks
+from latchspoke.ctl.client import Reply
+from latchspoke.ctl.common import (
+    CONFLICT,
+    DEFAULT_CONTROL_PLANE,
+    DEFAULT_OUTPUT,
+    DONE,
+    FINDINGS,
+    INVALID,
+    NO_ANSWER,
+    OUTCOME_UNKNOWN,
+    USAGE,
+    CommandError,
+    ControlPlaneOptions,
+    OutputOptions,
+    parse_address,
+    print_result,
+    query_control_plane,
+    query_gateways,
+    read_current,
+    read_input,
+    submit_command,
+    value_or_fail,
+)
+from latchspoke.ctl.order_commands import evacuate_app, rollout_app, version_app
+from latchspoke.ctl.store_commands import store_app
 from latchspoke.pool.command import pool_app
 
-DONE, NO_ANSWER, USAGE, INVALID, CONFLICT, OUTCOME_UNKNOWN, FINDINGS = range(7)
 EXIT_CODES_HELP = """Exit codes: 0 success; 1 no answer, and no change was requested; 2 wrong usage or
 unreadable file; 3 invalid, each fault with path and reason; 4 conflict: not based on the current version;
 5 outcome unknown: the change may be in effect or not, send the same request again; 6 findings that need
@@ -35,16 +57,9 @@
 )
 check_app = App(name="check", help="Check a file and list every fault with its path and reason.")
 config_app = App(name="config", help="The operator's configuration: read, change, compare.")
-version_app = App(name="version", help="Roll out a new version of a service's servers.")
-evacuate_app = App(name="evacuate", help="Evacuate a zone, or end its evacuation.")
-store_app = App(name="store", help="The store of a control-plane node: check, copy, restore from a copy.")
 caller_app = App(
     name="caller", help="Callers with shared session records: show a record, move a caller to another server."
 )
-rollout_app = App(
-    name="rollout",
-    help="Roll-outs: move a route to another service in steps, depending on failures and latency.",
-)
 for subcommand in (
     check_app,
     config_app,
@@ -58,91 +73,6 @@
     app.command(subcommand)
 
 
-class CommandError(Exception):
-    """A command failed: its exit code, the error text, and further fields for ``--json``."""
-
-    def __init__(self, code: int, message: str, **details: Any) -> None:
-        super().__init__(message)
-        self.code, self.details = code, details
-
-
-@Parameter(name="*")
-@dataclass(frozen=True)
-class OutputOptions:
-    """Options of all commands."""
-
-    json: Annotated[bool, Parameter(negative="", help="Print one JSON object.")] = False
-
-
-@Parameter(name="*")
-@dataclass(frozen=True)
-class ControlPlaneOptions(OutputOptions):
-    """Options of commands that call the control plane."""
-
-    control: Annotated[
-        str, Parameter(env_var="LATCHSPOKE_CONTROL", help="Control-plane nodes, host:port,host:port.")
-    ] = ""
-    within: Annotated[float, Parameter(help="Seconds to keep retrying.")] = 6.0
-
-
-DEFAULT_OUTPUT, DEFAULT_CONTROL_PLANE = OutputOptions(), ControlPlaneOptions()
-REQUEST_SENDER: list[client.RequestSender] = [client.send_request]  # replaced in tests
-
-
-def print_result(options: OutputOptions, text: str, result: dict[str, Any], code: int = DONE) -> int:
-    """Print the text, or the result as JSON; returns the exit code."""
-    if options.json:
-        print(json.dumps({"ok": code == DONE, "exit": code, **result}, indent=2))
-    elif text:
-        print(text)
-    return code
-
-
-def control_plane_client(options: ControlPlaneOptions) -> ControlPlaneClient:
-    """A client for the nodes named by the options; CommandError if there are none."""
-    if not options.control:
-        raise CommandError(USAGE, "no control-plane node is given: use --control or LATCHSPOKE_CONTROL")
-    try:
-        return ControlPlaneClient(
-            client.parse_addresses(options.control), REQUEST_SENDER[0], retry_for_s=options.within
-        )
-    except client.AddressError as e:
-        raise CommandError(USAGE, f"--control: {e}") from None
-
-
-def query_control_plane(options: ControlPlaneOptions, target: str, method: str = "GET") -> Reply:
-    """Send a read-only request; CommandError unless the answer has status 200."""
-    match control_plane_client(options).call(method, target):
-        case Success(Reply(status=200) as reply):
-            return reply
-        case Success(Reply() as reply):
-            raise CommandError(NO_ANSWER, f"{reply.source}: {reply.reason}")
-        case Failure(error):
-            raise CommandError(NO_ANSWER, f"no control-plane node answers: {error}")
-    raise AssertionError
-
-
-def read_input(path: Path) -> bytes:
-    """The content of an input file; CommandError if it can't be read."""
-    data: bytes = value_or_fail(file_checks.read_file(path), USAGE)
-    return data
-
-
-def value_or_fail(result: Result[Any, list[Fault]], code: int = INVALID) -> Any:
-    """The value of a successful result; CommandError with all faults otherwise."""
-    match result:
-        case Success(value):
-            return value
-        case Failure(faults):
-            raise CommandError(code, "\n".join(map(str, faults)), faults=faults_as_json(faults))
-    raise AssertionError
-
-
-def faults_as_json(faults: Sequence[Fault]) -> list[dict[str, str]]:
-    """The faults as they appear in the JSON output."""
-    return [{"path": fault.path, "reason": fault.reason} for fault in faults]
-
-
 # Programs.
 
 SettingsFile = Annotated[
@@ -239,7 +169,7 @@
 
 def query_gateway(address: str) -> Any:
     """The status of one gateway; CommandError if it does not answer."""
-    (answer,) = client.query_all([address], "/status", REQUEST_SENDER[0])
+    (answer,) = client.query_all([address], "/status", common.request_sender)
     match answer:
         case Success(Reply(status=200) as reply):
             return reply.body
@@ -286,19 +216,6 @@
     )
 
 
-def query_gateways(control_view: Any, target: str) -> dict[str, Any]:
-    """Query all known gateways; the answer of each by its name, or None."""
-    addresses = {
-        m["name"]: m["status"] for m in control_view["members"] if m["role"] == "edge" and m.get("status")
-    }
-    answers = client.query_all(list(addresses.values()), target, REQUEST_SENDER[0])
-    views: dict[str, Any] = {}
-    for name, answer in zip(addresses, answers, strict=True):
-        reply = answer.value_or(None)
-        views[name] = reply.body if reply is not None and reply.status == 200 else None
-    return views
-
-
 # Explain.
 
 
@@ -337,7 +254,7 @@
     if not gateway:
         gateway, extra = select_gateway(where, zone)
     address = parse_address(gateway)
-    match REQUEST_SENDER[0](address, "POST", "/explain", json.dumps(question).encode()):
+    match common.request_sender(address, "POST", "/explain", json.dumps(question).encode()):
         case Success(Reply(status=200) as reply):
             result = {**reply.body, **extra, "by": reply.source, "asked_caller": caller}
             return print_result(where, formatting.format_explanation(result), result)
@@ -348,14 +265,6 @@
     raise AssertionError
 
 
-def parse_address(text: str) -> client.Address:
-    """One address host:port; CommandError if it is malformed."""
-    try:
-        return client.parse_addresses(text)[0]
-    except client.AddressError as e:
-        raise CommandError(USAGE, str(e)) from None
-
-
 def select_gateway(options: ControlPlaneOptions, zone: str) -> tuple[str, dict[str, Any]]:
     """A gateway that resolution gives to clients of the zone, with the whole answer for the output."""
     control_view = query_control_plane(options, "/status").body
@@ -397,7 +306,7 @@
 
 def query_caller(address: str, question: dict[str, str]) -> Reply:
     """Query or move a caller's session record at one gateway; CommandError if there is no usable answer."""
-    match REQUEST_SENDER[0](parse_address(address), "POST", "/caller", json.dumps(question).encode()):
+    match common.request_sender(parse_address(address), "POST", "/caller", json.dumps(question).encode()):
         case Success(Reply(status=404) as reply):
             raise CommandError(NO_ANSWER, f"{reply.source}: no route there shares session records")
         case Success(Reply() as reply) if isinstance(reply.body, dict):
@@ -497,14 +406,6 @@
     )
 
 
-def read_current(options: ControlPlaneOptions) -> Document:
-    """The current configuration, confirmed by a quorum."""
-    doc: Document = value_or_fail(
-        file_checks.configuration(query_control_plane(options, "/rpc?call=configuration.read", "POST").raw)
-    )
-    return doc
-
-
 OnCurrent = Annotated[
     bool, Parameter(negative="", help="Base the change on the current version and give it the next number.")
 ]
@@ -580,229 +481,6 @@
     return print_result(where, text, {"versions": versions})
 
 
-def submit_command(
-    options: ControlPlaneOptions, command: str, body: bytes, message: str, zone: str = ""
-) -> int:
-    """Send a command, repeated unchanged until its outcome is known or the time is up; the exit code."""
-    target = f"/rpc?call={command}" + (f"&of={zone}" if zone else "")
-    match control_plane_client(options).call("POST", target, body):
-        case Success(Reply(status=200) as reply):
-            remaining = reply.body.get("standing") if isinstance(reply.body, dict) else None
-            extra = {} if remaining is None else {"standing": remaining}
-            if command == "evacuation.finish" and remaining:
-                message = f"one evacuation of {zone} is taken back; {remaining} more, by others, stands"
-            return print_result(options, message, {"by": reply.source} | extra)
-        case Success(Reply(status=412) as reply):
-            raise CommandError(CONFLICT, f"conflict: {reply.reason}", by=reply.source)
-        case Success(Reply() as reply):
-            faults = reply.body.get("faults", []) if isinstance(reply.body, dict) else []
-            text = "\n".join(map(str, faults)) or reply.reason
-            raise CommandError(
-                INVALID, text, by=reply.source, faults=[{"path": "", "reason": fault} for fault in faults]
-            )
-        case Failure(error):
-            raise CommandError(
-                OUTCOME_UNKNOWN,
-                f"outcome unknown, the change may be in effect or not; send the same again: {error}",
-            )
-    raise AssertionError
-
-
-# Roll-outs.
-
-PlanFile = Annotated[Path, Parameter(help="The plan, in YAML or JSON (docs/operating-system.md).")]
-
-
-@rollout_app.command(name="check")
-def rollout_check(
-    plan: PlanFile,
-    *,
-    config: Annotated[Path | None, Parameter(help="Work offline with this configuration.")] = None,
-    where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE,
-) -> int:
-    """Check whether a plan fits the configuration, and show the current share. Changes nothing."""
-    from latchspoke.ctl import rollouts
-    from latchspoke.rollouts.engine import current_share
-
-    parsed_plan = value_or_fail(rollouts.parse_plan(read_input(plan)))
-    doc: Document = (
-        value_or_fail(file_checks.configuration(read_input(config)))
-        if config is not None
-        else read_current(where)
-    )
-    if faults := rollouts.check_plan(parsed_plan, doc):
-        raise CommandError(INVALID, "\n".join(map(str, faults)), faults=faults_as_json(faults))
-    share = current_share(doc, parsed_plan)
-    assert not isinstance(share, str)
-    result = {
-        "route": parsed_plan.route,
-        "from": parsed_plan.old_service,
-        "to": parsed_plan.new_service,
-        "share": share,
-        "steps": parsed_plan.steps,
-    }
-    return print_result(where, rollouts.describe_start(parsed_plan, share), result)
-
-
-@rollout_app.command(name="run")
-def rollout_run(plan: PlanFile, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """Run a plan from the current share to its end. Ctrl-C stops it there; run it again to continue."""
-    return run_rollout(plan, False, where)
-
-
-@rollout_app.command(name="back")
-def rollout_back(plan: PlanFile, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """Roll back: give all requests to the old service at once."""
-    return run_rollout(plan, True, where)
-
-
-def run_rollout(file: Path, rollback: bool, options: ControlPlaneOptions) -> int:
-    """Run a roll-out and print its events; the exit code."""
-    from latchspoke.ctl import rollouts
-    from latchspoke.rollouts.drive import drive
-    from latchspoke.rollouts.engine import Event, Outcome, Rollout
-    from latchspoke.rollouts.evidence import available_servers
-
-    plan = value_or_fail(rollouts.parse_plan(read_input(file)))
-    if not rollback and not available_servers(query_control_plane(options, "/status").body).get(
-        plan.new_service
-    ):
-        raise CommandError(INVALID, f"to: no server of {plan.new_service!r:.60} is available")
-    environment = rollouts.LiveEnvironment(plan, control_plane_client(options), query_gateways)
-
-    def print_event(event: Event) -> None:
-        if options.json:
-            print(json.dumps({"event": event.code, "at": round(event.at, 3), **event.fields}), flush=True)
-        else:
-            print(rollouts.format_event(event), flush=True)
-
-    result = drive(Rollout(plan, environment.now(), rollback), environment, print_event)
-    exit_codes = {
-        Outcome.COMPLETED: DONE, Outcome.ROLLED_BACK: DONE if rollback else FINDINGS,
-        Outcome.INCONCLUSIVE: FINDINGS, Outcome.SUPERSEDED: CONFLICT, Outcome.REJECTED: INVALID,
-        Outcome.UNKNOWN: OUTCOME_UNKNOWN,
-    }  # fmt: skip
-    return exit_codes[result.outcome]
-
-
-# Versions of servers.
-
-
-@version_app.command(name="begin")
-def version_begin(
-    service: str,
-    target: Annotated[str, Parameter(help="The version, as its servers report it.")],
-    *,
-    duration_s: Annotated[float, Parameter(help="Time within which it is to serve all requests.")] = 300.0,
-    where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE,
-) -> int:
-    """Move a service to the target version, judged by what its servers answer; bad ones are reverted."""
-    order = {"service": service, "targetVersion": target, "durationS": duration_s}
-    message = f"{target} of {service} is being rolled out"
-    return submit_command(where, "rollouts.begin", json.dumps(order).encode(), message)
-
-
-@version_app.command(name="show")
-def version_show(service: str = "", *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """State, share, samples and reason of the newest rollout of a service, or of all."""
-    from latchspoke.version_rollouts.formatting import format_rollout
-
-    views = query_control_plane(where, "/status").body["rollouts"]
-    chosen = {name: view for name, view in views.items() if service in ("", name)}
-    if service and not chosen:
-        raise CommandError(INVALID, f"there was no rollout of {service!r:.60}")
-    text = "\n".join(format_rollout(name, view) for name, view in sorted(chosen.items()))
-    return print_result(where, text or "there was no rollout", {"rollouts": chosen})
-
-
-@version_app.command(name="revert")
-def version_revert(service: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """Revert the unfinished rollout of a service: its target version gets nothing more."""
-    return submit_command(where, "rollouts.revert", b"", f"{service} is back at its old version", service)
-
-
-# Zones.
-
-
-@evacuate_app.command(name="begin")
-def evacuate_begin(zone: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """Stop sending requests to the zone's servers."""
-    return submit_command(where, "evacuation.begin", b"", f"{zone} gets nothing more", zone)
-
-
-@evacuate_app.command(name="finish")
-def evacuate_finish(zone: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
-    """End an evacuation of the zone."""
-    return submit_command(where, "evacuation.finish", b"", f"{zone} is taken back", zone)
-
-
-# Stores.
-
-
-@store_app.command(name="check")
-def store_check(file: Path, *, said: OutputOptions = DEFAULT_OUTPUT) -> int:
-    """Check a copy, or register.db of a stopped node, and show a summary of its content."""
-    from latchspoke.ctl.stores import StoreError, describe
-
-    try:
-        description = describe(file)
-    except StoreError as e:
-        raise CommandError(INVALID, str(e)) from None
-    text = "\n".join(f"{name}: {value}" for name, value in description.items())
-    return print_result(said, text, description)
-
-
-@store_app.command(name="copy")
-def store_copy(
-    source: Annotated[
-        str, Parameter(help="A control-plane node, host:port, or register.db of a stopped one.")
-    ],
-    to: Path,
-    *,
-    said: OutputOptions = DEFAULT_OUTPUT,
-) -> int:
-    """Copy the replicated state from a running control-plane node, or from the disk of a stopped one."""
-    from latchspoke.ctl import stores
-
-    try:
-        if Path(source).exists():
-            data = stores.export_copy(Path(source))
-        else:
-            data = query_control_plane(ControlPlaneOptions(control=source), "/register/copy").raw
-        stores.write_private(to, data)
-        description = stores.describe(to)
-    except stores.StoreError as e:
-        raise CommandError(INVALID, str(e)) from None
-    text = (
-        f"{to}: version {description['version']}, index {description['applied']};"
-        " it contains keys, keep it safe"
-    )
-    return print_result(said, text, description)
-
-
-@store_app.command(name="restore")
-def store_restore(
-    copy: Path,
-    home: Annotated[Path, Parameter(help="The node's empty dataDirectory.")],
-    *,
-    me: Annotated[str, Parameter(help="This node's internal address, host:port.")],
-    founders: Annotated[str, Parameter(help="Internal addresses of all founding nodes, including this one.")],
-    said: OutputOptions = DEFAULT_OUTPUT,
-) -> int:
-    """Create the store of one founding node of a system restored from a copy. Run it on each of them."""
-    from latchspoke.ctl import stores
-
-    names = [name.strip() for name in founders.split(",") if name.strip()]
-    for name in names:
-        parse_address(name)
-    try:
-        snapshot = stores.restore(copy, home, me, names)
-    except stores.StoreError as e:
-        raise CommandError(INVALID, str(e)) from None
-    result = {"home": str(home), "place": snapshot.index, "voters": list(snapshot.members.voters)}
-    return print_result(said, f"{home}: starts at index {snapshot.index} with {', '.join(names)}", result)
-
-
 def main(argv: Sequence[str]) -> int:
     """Run the command line; returns the exit code."""
     tokens = list(argv)
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -22,7 +22,7 @@
 from latchspoke.configstore.store_node import StoreNode, founding_snapshot
 from latchspoke.configuration import apply_patch
 from latchspoke.consensus.records import Stored
-from latchspoke.ctl import app, client
+from latchspoke.ctl import app, client, common
 from latchspoke.ctl.client import Reply
 from latchspoke.version_rollouts.formatting import rollout_view
 from latchspoke.version_rollouts.records import RolloutRecord, RolloutState
@@ -73,7 +73,7 @@
 @pytest.fixture
 def system(monkeypatch: pytest.MonkeyPatch) -> FakeSystem:
     found = FakeSystem()
-    monkeypatch.setattr(app, "REQUEST_SENDER", [found.ask])
+    monkeypatch.setattr(common, "request_sender", found.ask)
     monkeypatch.setenv("LATCHSPOKE_CONTROL", "127.0.0.2:8200")
     monkeypatch.setattr("time.sleep", lambda s: None)
     return found
@@ -351,7 +351,7 @@
             )
         return Success(Reply(status, result, b"", "127.0.0.1:8201"))
 
-    app.REQUEST_SENDER[0] = ask
+    common.request_sender = ask
     at = ("--gateway", "127.0.0.1:8201", "--route", "pay", "--tenant", "acme")
     code, text = run("caller", "show", "m-7", *at)
     assert code == 0 and "site: t1 at 127.0.0.9:1, exchange e1 open" in text and "number 1/2/3" in text
@@ -375,7 +375,7 @@
             return Failure("127.0.0.1:8202: refused")
         return Success(Reply(200, dict(result), b"", "127.0.0.1:8201"))
 
-    app.REQUEST_SENDER[0] = ask
+    common.request_sender = ask
     at = ("--control", "127.0.0.2:8200", "--route", "pay")
     result["record"] = record
     code, text = run("caller", "show", "m-7", *at)
@@ -400,10 +400,10 @@
 def test_reach_shows_reached_servers_and_changes(run: Run, system: FakeSystem) -> None:
     system.respond("/status", (200, CONTROL))
     code, text = run("reach", "--since", "500")
-    assert code == app.USAGE and "--since" in text
+    assert code == common.USAGE and "--since" in text
     system.respond("/reach?since=60", "refused")
     code, text = run("reach")
-    assert (code, "none of 1 gateways answered" in text) == (app.NO_ANSWER, True)
+    assert (code, "none of 1 gateways answered" in text) == (common.NO_ANSWER, True)
 
     loop = asyncio.new_event_loop()
     node = gateway_node(loop)
@@ -421,7 +421,7 @@
     system.respond("/reach?since=60&server=x", node.handle_query("GET", "/reach?since=60&server=x", b""))
     loop.close()
     code, text = run("reach", "--changes", "--strict")
-    assert code == app.FINDINGS and "1 gateways report the last" in text
+    assert code == common.FINDINGS and "1 gateways report the last" in text
     assert "failing" in text and "83% of 6 requests from 1 gateways failed" in text
     assert any(line.split()[:3] == ["books", "b1", "a"] and "1/1" in line for line in text.splitlines())
     assert any("b3" in line and "new" in line and "cold" in line for line in text.splitlines())
@@ -430,4 +430,4 @@
     assert code == 0 and [s["id"] for s in result["servers"]] == ["b1"]
     assert result["servers"][0]["ends"] == {"error": 5, "ok": 1} and result["silent"] == []
     code, text = run("reach", "--server", "x")
-    assert code == app.USAGE and "knows a server 'x'" in text
+    assert code == common.USAGE and "knows a server 'x'" in text
--- a/tests/ctl/test_rollouts.py
+++ b/tests/ctl/test_rollouts.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from latchspoke.configuration import apply_patch
-from latchspoke.ctl import app, client, rollouts
+from latchspoke.ctl import app, client, common, rollouts
 from latchspoke.ctl.client import Reply
 from latchspoke.rollouts.drill import Service, SimulatedEnvironment
 from tests.ctl.nodes import CONFIGURATION
@@ -75,7 +75,7 @@
 @pytest.fixture
 def system(monkeypatch: pytest.MonkeyPatch) -> FakeSystem:
     made = FakeSystem()
-    monkeypatch.setattr(app, "REQUEST_SENDER", [made.ask])
+    monkeypatch.setattr(common, "request_sender", made.ask)
     monkeypatch.setenv("LATCHSPOKE_CONTROL", "127.0.0.2:8200")
     monkeypatch.setattr("time.sleep", lambda s: None)
     sleep = lambda s: made.wait(made.clock + s)  # noqa: E731
