--- a/tests/lab/test_version_rollouts.py
+++ b/tests/lab/test_version_rollouts.py
@@ -92,3 +92,9 @@
 def test_drawn_days_of_new_versions_break_no_rule() -> None:
     for seed in (1, 2):
         assert judge(run_day(rivers(), draw_versions(rivers(), seed))) == []
+
+
+def test_fault_in_the_first_second_at_full_share_prevents_completion() -> None:
+    """EXPOSURE: with little traffic, nine failures of 92 were too few to revert, and it was completed."""
+    deployment = scenario.read_deployment(RIVERS)
+    assert judge(run_day(deployment, draw_versions(deployment, 1014))) == []
