Let the soak play machines that nobody prepared, and judge ends by the Fault rule

Its machines were kind: folders there, logs read, limits high, one process an address, and ends by a SIGHUP that came before it was heeded were counted and not judged. A process that ends by itself is started again, as the platform does; three such ends on two machines (a tenth) or half of the control machines are FAULT, and so is memory over the limit.

--- a/latchspoke/lab/soak/__main__.py
+++ b/latchspoke/lab/soak/__main__.py
@@ -10,25 +10,36 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Literal
 
 import cyclopts
 
+from latchspoke.lab.soak.deployments import DEPLOYMENTS
 from latchspoke.lab.soak.fleet import claim_net
 from latchspoke.lab.soak.run import NotUpError, Plan, play
 
+DeploymentName = Literal["small", "kasa-brama", "zm-notify"]
 app = cyclopts.App(name="soak", help=__doc__)
 MAX_PRINTED_FINDINGS = 8  # findings of a run that are printed
 
 
 @app.default
 def soak(
-    *, seed: int = 1, seeds: int = 1, seconds: float = 15.0, gateways: int = 4, control: int = 3,
-    clients: int = 24, series: int = 3, keep: str = "",
+    *, seed: int = 1, seeds: int = 1, seconds: float = 15.0, gateways: int | None = None,
+    control: int | None = None, clients: int = 24, series: int = 3, keep: str = "",
+    deployment: DeploymentName = "small", strange: bool = False,
 ) -> int:  # fmt: skip
-    """Play so many seeds from --seed on; --keep FOLDER keeps all logs, else those of findings stay."""
+    """Play so many seeds from --seed on; --keep FOLDER keeps all logs, else those of findings stay.
+
+    --deployment gives machines, limits and bounds; --strange plays machines that nobody prepared.
+    """
+    site = DEPLOYMENTS[deployment]
     bad = 0
     for number in range(seed, seed + seeds):
-        plan = Plan(number, seconds, gateways, control, clients, series=series)
+        plan = Plan(
+            number, seconds, gateways or site.gateways.count, control or site.control.count, clients,
+            series=series, deployment=site, strange=strange,
+        )  # fmt: skip
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None))
         net, claim = claim_net()
         try:
--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -8,13 +8,17 @@
 import math
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+from latchspoke.lab.soak.conditions import KIND, Conditions, OutputEnd, peak_memory_mb
+from latchspoke.lab.soak.deployments import SMALL, Deployment, Role
 from latchspoke.lab.soak.parties import Address, call
 from latchspoke.lab.soak.record import Life, Record
 
@@ -22,16 +26,11 @@
 CONTROL_PORT, READINESS_PORT, FRONT_PORT, LOCATOR_PORT = 8200, 8201, 8206, 8209
 NETS = range(130, 250)
 CLAIM_PORT = 7599  # bound by the run that uses a net
-GRACE_S = 3.0
 START_FILE = "register.new"  # there while a control machine writes the number of its start
 START_FILE_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.0001
-ZONES = {"left-bank": "west", "right-bank": "east"}
-BOUNDS = [
-    "contactS=4", "ackS=6", "drainS=3", f"graceS={GRACE_S:g}", "configApplyS=3", "revocationEnforced=true",
-    "revokeS=5", "retryRatio=1", "retryWindowS=10", "retrySlack=5000", "quotaWindowS=5", "coldExcess=1.5",
-    "coldSlack=5", "evacuationS=5", "ttl_max_s=5", "catchUpS=4",
-]  # fmt: skip
+DISK_FOLDER = "disk"  # of a control machine, below its home
+RESTART_DELAY_S = 0.3  # from the end of a process to the start that the platform makes then
 
 
 @dataclass(eq=False)
@@ -44,6 +43,7 @@
     ip: str
     process: asyncio.subprocess.Process | None = None
     stops: bool = False
+    conditions: Conditions = KIND
 
 
 def claim_net() -> tuple[int, socket.socket]:
@@ -81,19 +81,42 @@
     return True
 
 
+def damage_file(file: Path, rng: random.Random) -> None:
+    """Cut a file short, or overwrite a part of it."""
+    data = file.read_bytes()
+    at = rng.randrange(len(data) + 1)
+    if rng.random() < 0.5:
+        file.write_bytes(data[:at])
+    else:
+        file.write_bytes(data[:at] + rng.randbytes(min(4096, len(data) - at)) + data[at + 4096 :])
+
+
 class Fleet:
     """All machines of a run."""
 
-    def __init__(self, folder: Path, record: Record, net: int, gateways: int, control: int) -> None:
+    def __init__(
+        self, folder: Path, record: Record, net: int, gateways: int, control: int,
+        deployment: Deployment = SMALL,
+    ) -> None:  # fmt: skip
         """``net``: the second part of all loopback addresses, one for each concurrent run."""
-        self.folder, self.record, self.net = folder, record, net
+        self.folder, self.record, self.net, self.deployment = folder, record, net, deployment
         self.core = [self.machine("controlplane", number) for number in range(control)]
         self.edges = [self.machine("dataplane", number) for number in range(gateways)]
         self.watching: set[asyncio.Task[None]] = set()
+        self.stopping = False  # the run is over
+
+    def role(self, machine: Machine) -> Role:
+        """The limits of a machine's settings."""
+        return self.deployment.control if machine in self.core else self.deployment.gateways
+
+    def disk(self, machine: Machine) -> Path:
+        """The data directory of a control machine."""
+        return self.folder / machine.name / DISK_FOLDER
 
     def machine(self, program: str, number: int) -> Machine:
         """Create a machine; machines alternate between the zones."""
-        zone = list(ZONES)[number % len(ZONES)]
+        zones = list(self.deployment.zones)
+        zone = zones[number % len(zones)]
         kind = 1 if program == "controlplane" else 2
         ip = f"127.{self.net}.{kind}.{number + 1}"
         return Machine(f"{program}-{number}", program, zone, ip)
@@ -111,6 +134,7 @@
     def settings(self, machine: Machine, first: bool) -> Path:
         """Write the settings file; ``first``: the whole system starts for the first time."""
         control = machine.program == "controlplane"
+        zones, role = self.deployment.zones, self.role(machine)
         home = self.folder / machine.name
         home.mkdir(parents=True, exist_ok=True)
         listen = (
@@ -121,13 +145,18 @@
         fields = {
             "nodeName": machine.name, "role": machine.program, "machineClass": "core" if control else "edge",
             "servedRoles": ["control", "locator"] if control else ["edge"], "ipAddress": machine.ip,
-            "zone": machine.zone, "region": ZONES[machine.zone], "zones": ZONES,
+            "zone": machine.zone, "region": zones[machine.zone], "zones": zones,
             "listenAddresses": {name: f"{machine.ip}:{port}" for name, port in listen.items()},
             "internalPortRange": [7600, 7615], "seedNodes": [f"{m.ip}:{CONTROL_PORT}" for m in self.core[:3]],
             "initialStart": first, "lossCounted": control,
-            "limits": {"cpuFraction": 1.0, "memoryMb": 300, "fileDescriptors": 900},
-            "dataDirectory": str(home) if control else None, "heartbeatS": 1.0, "contractSet": ["base"],
-            "faultTolerance": {"machineLosses": 1, "zones": 0, "regionLosses": 0}, "bounds": BOUNDS,
+            "limits": {
+                "cpuFraction": 1.0, "memoryMb": role.memory_mb, "fileDescriptors": role.descriptors,
+                "linkRateMbps": role.link_mbps, "diskMb": 256 if control else 0,
+            },
+            "dataDirectory": str(self.disk(machine)) if control else None,
+            "heartbeatS": self.deployment.heartbeat_s, "contractSet": ["base"],
+            "faultTolerance": {"machineLosses": 1, "zones": 0, "regionLosses": 0},
+            "bounds": [f"{name}={value}" for name, value in self.deployment.bounds.items()],
         }  # fmt: skip
         path = home / "local.yaml"
         new = path.with_suffix(".new")
@@ -138,29 +167,58 @@
     async def start(self, machine: Machine, first: bool = False) -> None:
         """Start the process of a machine."""
         path = self.settings(machine, first)
-        with (self.folder / f"{machine.name}.log").open("ab") as log:
-            machine.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", f"latchspoke.{machine.program}", cwd=ROOT, stdout=log, stderr=log,
-                env=os.environ | {"LATCHSPOKE_NODE_FILE": str(path)}, start_new_session=True,
-            )  # fmt: skip
+        conditions = machine.conditions
+        if machine in self.core and conditions.folder_exists:
+            self.disk(machine).mkdir(exist_ok=True)
+        output = OutputEnd(conditions.sink, self.folder / f"{machine.name}.log")
+        machine.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", f"latchspoke.{machine.program}", cwd=ROOT,
+            stdout=output.writer, stderr=output.writer, preexec_fn=conditions.apply_limits,
+            env=os.environ | {"LATCHSPOKE_NODE_FILE": str(path)}, start_new_session=True,
+        )  # fmt: skip
+        close_reader = output.started()
         machine.stops = False
         life = Life(time.monotonic())
         self.record.lives[machine.ip].append(life)
-        task = asyncio.create_task(self.watch(machine, machine.process, life))
+        task = asyncio.create_task(self.watch(machine, machine.process, life, close_reader))
         self.watching.add(task)
         task.add_done_callback(self.watching.discard)
 
-    async def watch(self, machine: Machine, process: asyncio.subprocess.Process, life: Life) -> None:
-        """Record a fault if the process ends unasked, or with a failure."""
+    async def watch(
+        self,
+        machine: Machine,
+        process: asyncio.subprocess.Process,
+        life: Life,
+        close_reader: Callable[[], None],
+    ) -> None:
+        """Record how a process ends; one that has ended by itself is started again, as the platform does."""
         code = await process.wait()
+        close_reader()
         life.ended = time.monotonic()
         asked = min(life.term_at, life.killed_at) <= life.ended
-        # Before the interpreter runs, SIGHUP ends the process; before it listens, SIGTERM may.
         age = life.ended - life.begun
-        if -code in life.unheeded:
-            self.record.done["ended before it served"] += 1
-        elif not asked or (code and life.killed_at > life.ended):
-            self.record.faults.append((life.ended, f"{machine.name} ended with {code}, {age:.2f} s old"))
+        if asked and (not code or life.killed_at <= life.ended or -code in life.unheeded):
+            return  # before it listens, SIGTERM may end a process with a failure
+        what = f"{machine.name} ended with {code}, {age:.2f} s old"
+        if -code in life.unheeded:  # by SIGHUP, before the interpreter ran: judged by the number of such ends
+            self.record.own_ends[machine.ip].append((life.ended, what))
+        else:
+            self.record.faults.append((life.ended, what))
+        await asyncio.sleep(RESTART_DELAY_S)
+        if machine.process is process and not machine.stops and not self.stopping:
+            await self.start(machine)
+
+    def sample_memory(self) -> None:
+        """Record machines whose processes have had more memory than their settings allow."""
+        for machine in [*self.core, *self.edges]:
+            if machine.process is None or machine.process.returncode is not None:
+                continue
+            peak, limit = peak_memory_mb(machine.process.pid), self.role(machine).memory_mb
+            self.record.peak_memory_mb = max(self.record.peak_memory_mb, peak)
+            if peak > limit:
+                self.record.faults.append(
+                    (time.monotonic(), f"{machine.name} had {peak} MB, {limit} allowed")
+                )
 
     async def start_all(self) -> None:
         """Start all machines for the first time."""
@@ -197,7 +255,7 @@
         life = self.record.lives[machine.ip][-1]
         life.term_at = time.monotonic()
         self.signal(machine, signal.SIGTERM)
-        await self.wait_ended(machine, life, GRACE_S)
+        await self.wait_ended(machine, life, self.deployment.grace_s)
         await asyncio.sleep(pause)
         await self.start(machine)
 
@@ -218,7 +276,7 @@
         """SIGKILL, and again in so many of the next starts, as the number of the start is written."""
         if machine.stops or machine.process is None:
             return
-        begun, file = time.monotonic(), self.folder / machine.name / START_FILE
+        begun, file = time.monotonic(), self.disk(machine) / START_FILE
         self.record.troubles[machine.ip].append((begun, math.inf))
         await self.kill(machine, 0.0)
         for _ in range(times):
@@ -232,6 +290,58 @@
         machine.stops = False
         self.record.troubles[machine.ip][-1:] = [(begun, time.monotonic())]
 
+    async def lose_disk(self, machine: Machine, pause: float) -> None:
+        """Remove the data directory of a running control machine, kill it, and start it again."""
+        if machine.stops:
+            return
+        await asyncio.to_thread(shutil.rmtree, self.disk(machine), True)
+        await self.kill(machine, pause)
+
+    async def damage_disk(self, machine: Machine, rng: random.Random) -> None:
+        """Kill a control machine, cut one of its files short or overwrite a part, and start it again."""
+        if machine.stops or machine.process is None:
+            return
+        begun = time.monotonic()
+        machine.stops = True
+        self.record.lives[machine.ip][-1].killed_at = begun
+        self.record.troubles[machine.ip].append((begun, begun))
+        self.signal(machine, signal.SIGKILL)
+        await machine.process.wait()
+        files = sorted(file for file in self.disk(machine).iterdir() if file.is_file())
+        if files:
+            damage_file(rng.choice(files), rng)
+        await self.start(machine)
+
+    async def start_beside(self, machine: Machine) -> None:
+        """Start another process of a machine, and tell the one that serves there to stop only then."""
+        if machine.stops or machine.process is None:
+            return
+        old, life = machine.process, self.record.lives[machine.ip][-1]
+        begun = time.monotonic()
+        self.record.troubles[machine.ip].append((begun, math.inf))
+        await self.start(machine)
+        machine.stops = True
+        life.term_at = time.monotonic()
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(old.pid, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(self.deployment.grace_s):
+                await old.wait()
+        except TimeoutError:
+            life.killed_at = time.monotonic()
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(old.pid, signal.SIGKILL)
+            await old.wait()
+        machine.stops = False
+        self.record.troubles[machine.ip][-1:] = [(begun, time.monotonic())]
+
+    async def reload_starting(self, machine: Machine, delay: float) -> None:
+        """Kill a process, and send SIGHUP so long (s) after its next start."""
+        await self.kill(machine, 0.0)
+        await asyncio.sleep(delay)
+        if not machine.stops:
+            self.signal(machine, signal.SIGHUP)
+
     async def wait_ended(self, machine: Machine, life: Life, within: float) -> None:
         """Wait for the process to end; SIGKILL after this time (s)."""
         assert machine.process is not None
@@ -255,6 +365,8 @@
 
     async def stop_all(self) -> None:
         """Stop all machines, gateways first."""
+        self.stopping = True
+        self.sample_memory()
         for those in (self.edges, self.core):
             for machine in those:
                 machine.stops = True
@@ -265,5 +377,7 @@
                 self.signal(machine, signal.SIGTERM)
             for machine in those:
                 if machine.process is not None:
-                    await self.wait_ended(machine, self.record.lives[machine.ip][-1], GRACE_S + 2.0)
+                    await self.wait_ended(
+                        machine, self.record.lives[machine.ip][-1], self.deployment.grace_s + 2.0
+                    )
         await asyncio.gather(*self.watching)
--- a/latchspoke/lab/soak/record.py
+++ b/latchspoke/lab/soak/record.py
@@ -10,6 +10,7 @@
 NOT_EXECUTED_STATUSES = frozenset((429, 503, 408, 421))
 CONTACT_S = 4.0  # after an unplanned trouble of a gateway, in which it may still cut connections
 LATE_FRACTION = 5 / 6  # of the grace period, after which requests in progress may be cut
+MAX_OWN_ENDS = 3  # of a machine's processes in a run: so many are too many
 UNASKED_ANSWER = "an answer that nobody asked for"
 
 
@@ -92,6 +93,10 @@
     troubles: dict[str, list[tuple[float, float]]] = field(default_factory=lambda: defaultdict(list))
     unasked: list[tuple[float, str, bytes]] = field(default_factory=list)
     faults: list[tuple[float, str]] = field(default_factory=list)  # processes that ended by themselves
+    # Ends of processes by signals that came before they were heeded, by address: time, and what ended.
+    own_ends: dict[str, list[tuple[float, str]]] = field(default_factory=lambda: defaultdict(list))
+    control: set[str] = field(default_factory=set)  # addresses of the control machines
+    peak_memory_mb: int = 0  # the highest of any process
     done: Counter[str] = field(default_factory=Counter)  # operations, by kind
     extra: int = 0  # second answers that servers gave
 
@@ -107,6 +112,7 @@
             for at, who, data in self.unasked
         ]
         found += [Finding("FAULT", at - self.begun, what) for at, what in self.faults]
+        found += self.judge_own_ends()
         for sent in self.sent.values():
             found += [
                 Finding(rule, min(sent.ended, sent.at + 60) - self.begun, what, sent.attempt)
@@ -117,6 +123,16 @@
             found.append(Finding("UNASKED", at - self.begun, "a run that no client asked for", attempt))
         return sorted(found, key=lambda finding: finding.at)
 
+    def judge_own_ends(self) -> list[Finding]:
+        """The Fault rule on processes that ended by themselves, as the users' page words it."""
+        repeatedly = {address for address, ends in self.own_ends.items() if len(ends) >= MAX_OWN_ENDS}
+        at_all = max(2, math.ceil(len(self.lives) / 10))
+        at_control = math.ceil(len(self.control) / 2)
+        if len(repeatedly) < at_all and (not at_control or len(repeatedly & self.control) < at_control):
+            return []
+        last = max(end for address in repeatedly for end in self.own_ends[address])
+        return [Finding("FAULT", last[0] - self.begun, f"{len(repeatedly)} machines, the last: {last[1]}")]
+
     def judge(self, sent: Sent) -> list[tuple[str, str]]:
         """The rules that one request breaks, each with a description."""
         arrivals = self.arrivals.get(sent.attempt, [])
@@ -161,4 +177,6 @@
             "statuses": dict(sorted(statuses.items())), "second answers": self.extra,
             "operations": dict(sorted(self.done.items())),
             "processes begun": sum(map(len, self.lives.values())),
+            "ended by SIGHUP at their start": sum(map(len, self.own_ends.values())),
+            "peak memory (MB)": self.peak_memory_mb,
         }  # fmt: skip
--- a/latchspoke/lab/soak/run.py
+++ b/latchspoke/lab/soak/run.py
@@ -12,7 +12,9 @@
 from pathlib import Path
 from typing import Any
 
-from latchspoke.lab.soak.fleet import GRACE_S, READINESS_PORT, ZONES, Fleet, Machine
+from latchspoke.lab.soak.conditions import draw_conditions
+from latchspoke.lab.soak.deployments import SMALL, Deployment
+from latchspoke.lab.soak.fleet import READINESS_PORT, Fleet, Machine
 from latchspoke.lab.soak.parties import KEYS, Client, Server, call, configuration
 from latchspoke.lab.soak.record import Finding, Record
 
@@ -23,6 +25,8 @@
 LOG_FINDINGS = {b"event=foreign-answer": "MIXED", b"Traceback": "FAULT"}
 MIN_SERVED_FRACTION = 0.5  # of the requests, for a run to be meaningful
 MAX_ATTEMPTS = 30  # of one call of the operator
+CATCH_UP_S = 4.0  # of a control machine that comes back without its disk
+SIGHUP_DELAYS_S = (0.0, 0.1)  # after the start of a process
 SETTLE_S = 1.0  # after the last operation
 MEMORY_RELEASE_TIMEOUT_S = 4.0  # after the last client has disconnected
 
@@ -42,6 +46,8 @@
     clients: int = 24
     servers: int = 4  # of each service in each zone
     series: int = 3  # of operations, side by side
+    deployment: Deployment = SMALL
+    strange: bool = False  # machines that nobody prepared: see ``conditions``
 
 
 class Run:
@@ -51,8 +57,13 @@
         """``net``: the second part of all loopback addresses (1 to 254)."""
         self.plan = plan
         self.rng = random.Random(f"soak:{plan.seed}")
-        self.record = Record(time.monotonic(), GRACE_S)
-        self.fleet = Fleet(folder, self.record, net, plan.gateways, plan.control)
+        self.record = Record(time.monotonic(), plan.deployment.grace_s)
+        self.zones = list(plan.deployment.zones)
+        self.fleet = Fleet(folder, self.record, net, plan.gateways, plan.control, plan.deployment)
+        self.record.control = {machine.ip for machine in self.fleet.core}
+        if plan.strange:
+            for machine in [*self.fleet.core, *self.fleet.edges]:
+                machine.conditions = draw_conditions(self.rng, self.fleet.role(machine))
         self.folder, self.net = folder, net
         self.hosts = 0
         self.servers: dict[Server, asyncio.Task[None]] = {}
@@ -101,7 +112,7 @@
             self.version = 0
             await asyncio.sleep(0.2)
         for service in SERVICES:
-            for zone in ZONES:
+            for zone in self.zones:
                 for _ in range(self.plan.servers):
                     self.start_server(service, zone)
         if not await self.fleet.ready(START_TIMEOUT_S):
@@ -147,6 +158,32 @@
         async with self.killing_control:
             await self.fleet.kill_starting(self.rng.choice(self.fleet.core), self.rng.randint(1, 4))
 
+    async def lose_disk(self) -> None:
+        """A control machine loses its data directory; one at a time, with time to catch up."""
+        async with self.killing_control:
+            await self.fleet.lose_disk(self.rng.choice(self.fleet.core), self.rng.uniform(0.0, 0.5))
+            await asyncio.sleep(CATCH_UP_S)
+
+    async def damage_disk(self) -> None:
+        """A file of a control machine is damaged; one at a time, with time to catch up."""
+        async with self.killing_control:
+            await self.fleet.damage_disk(self.rng.choice(self.fleet.core), self.rng)
+            await asyncio.sleep(CATCH_UP_S)
+
+    async def start_beside(self) -> None:
+        """A machine's next process is started before the old one is told to stop."""
+        machine = self.rng.choice([*self.fleet.edges, *self.fleet.core])
+        if machine in self.fleet.core:
+            async with self.killing_control:
+                await self.fleet.start_beside(machine)
+        else:
+            await self.fleet.start_beside(machine)
+
+    async def reload_starting(self) -> None:
+        """SIGHUP at a random moment of a gateway's start."""
+        machine = self.rng.choice(self.fleet.edges)
+        await self.fleet.reload_starting(machine, self.rng.uniform(*SIGHUP_DELAYS_S))
+
     async def remove_tenants(self) -> None:
         """Remove all tenants, and add them again a little later."""
         base, self.version = self.version, self.version + 1
@@ -201,7 +238,7 @@
     async def evacuate(self) -> None:
         """Evacuate a zone, and end the evacuation."""
         async with self.evacuating:
-            zone = self.rng.choice(list(ZONES))
+            zone = self.rng.choice(self.zones)
             for what in ("begin", "finish"):
                 await self.call_until_acknowledged(f"/rpc?call=evacuation.{what}&of={zone}")
                 await asyncio.sleep(self.rng.uniform(0.3, 1.5))
@@ -225,14 +262,20 @@
 
     async def series(self, until: float) -> None:
         """Run random operations one after the other until this time."""
-        operations = (
+        operations: list[Callable[[], Awaitable[None]]] = [
             self.restart_gateways, self.restart_gateways, self.reload_all, self.change_configuration,
             self.replace_servers, self.evacuate, self.restart_control, self.kill_gateway, self.freeze_gateway,
             self.kill_starting_control, self.remove_tenants,
-        )  # fmt: skip
+        ]  # fmt: skip
+        if self.plan.strange:
+            operations += [
+                self.lose_disk, self.damage_disk, self.start_beside, self.reload_starting,
+                self.reload_starting,
+            ]  # fmt: skip
         while time.monotonic() < until:
+            self.fleet.sample_memory()
             operation = self.rng.choice(operations)
-            self.record.done[operation.__name__] += 1
+            self.record.done[getattr(operation, "__name__", "")] += 1
             await operation()
             await asyncio.sleep(self.rng.uniform(0.0, 0.5))
 
--- /dev/null
+++ b/tests/lab/test_strange_machines.py
@@ -0,0 +1,251 @@
+"""Real processes on machines that nobody prepared start, and go on; see docs/process-failures.md."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import shutil
+import signal
+import time
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+
+import pytest
+
+from latchspoke.lab.soak.conditions import Conditions, LogSink
+from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, Machine, claim_net
+from latchspoke.lab.soak.parties import KEYS, call
+from latchspoke.lab.soak.record import Record
+from latchspoke.lab.soak.run import Plan, Run, play
+
+RELOADS = 80  # whose lines fill a pipe of 4 KiB
+UP_TIMEOUT_S = 20.0
+
+
+@pytest.fixture
+def net() -> Iterator[int]:
+    number, claim = claim_net()
+    with claim:
+        yield number
+
+
+@contextlib.asynccontextmanager
+async def system(
+    folder: Path, net: int, conditions: Conditions, control: int = 1, gateways: int = 1
+) -> AsyncIterator[Run]:
+    """A started system whose machines all have these conditions; no process may end by itself."""
+    run = Run(Plan(1, gateways=gateways, control=control, clients=0, servers=1), folder, net)
+    for machine in [*run.fleet.core, *run.fleet.edges]:
+        machine.conditions = conditions
+    try:
+        await run.start_system()
+        yield run
+        assert run.record.faults == []
+    finally:
+        await run.fleet.stop_all()
+        for task in run.servers.values():
+            task.cancel()
+        await asyncio.gather(*run.servers.values(), return_exceptions=True)
+
+
+async def request(machine: Machine) -> int:
+    """The status of a request of a client on a new connection."""
+    reader, writer = await asyncio.open_connection(machine.ip, FRONT_PORT)
+    with contextlib.closing(writer):
+        return await ask(reader, writer)
+
+
+async def ask(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> int:
+    """The status of a request on an open connection; 0 without an answer."""
+    attempt = f"{time.monotonic_ns():016x}"
+    writer.write(
+        f"GET /levels/now HTTP/1.1\r\nHost: river.example\r\nX-Attempt-Id: {attempt}\r\n"
+        f"X-Deadline-Remaining: 1200\r\nAuthorization: Token {KEYS['ferry']}\r\n\r\n".encode()
+    )
+    try:
+        async with asyncio.timeout(3.0):
+            line = await reader.readline()
+    except (OSError, TimeoutError):
+        return 0
+    return int(line.split()[1]) if line else 0
+
+
+async def until_served(machine: Machine, within: float = UP_TIMEOUT_S) -> None:
+    """Wait until a request of a client is served. Raises TimeoutError."""
+    async with asyncio.timeout(within):
+        while True:
+            with contextlib.suppress(OSError):
+                if await request(machine) == 200:
+                    return
+            await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("sink", [LogSink.UNREAD_PIPE, LogSink.CLOSED_PIPE, LogSink.FULL_DEVICE])
+def test_output_that_nobody_takes_stops_no_process(sink: LogSink, net: int, tmp_path: Path) -> None:
+    """A full pipe blocked all processes; a failing write ended the way of each new configuration."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions(sink)) as run:
+            for _ in range(RELOADS):
+                for machine in [*run.fleet.core, *run.fleet.edges]:
+                    run.fleet.signal(machine, signal.SIGHUP)
+                await asyncio.sleep(0.01)
+            assert await run.replace_configuration() == 200
+            gateway = run.fleet.edges[0]
+            await until_served(gateway)
+            status, body = await call((gateway.ip, READINESS_PORT), "GET", "/status")
+            assert status == 200 and int(json.loads(body)["acts_by"], 16) == run.version
+
+    asyncio.run(scenario())
+
+
+def test_data_directory_that_is_missing_is_created(net: int, tmp_path: Path) -> None:
+    """All control machines ended with 1, so that no configuration was taken."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions(folder_exists=False), control=3) as run:
+            await until_served(run.fleet.edges[0])
+
+    asyncio.run(scenario())
+
+
+def test_control_machines_that_lose_their_disks_one_after_the_other_come_back(
+    net: int, tmp_path: Path
+) -> None:
+    """Each ended with 1 at its start; after the second, nothing was served."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions(), control=3) as run:
+            for machine in run.fleet.core:
+                shutil.rmtree(run.fleet.disk(machine))
+                machine.conditions = Conditions(folder_exists=False)
+                await run.fleet.kill(machine, 0.1)
+                await asyncio.sleep(5.0)  # over catchUpS
+                await until_served(run.fleet.edges[0], 2.0)
+            assert await run.replace_configuration() == 200
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("program", ["dataplane", "controlplane"])
+def test_process_that_is_started_while_the_old_one_drains_takes_its_place(
+    program: str, net: int, tmp_path: Path
+) -> None:
+    """It ended with 1, as the address was in use; once the old one had ended, nobody served there."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions()) as run:
+            machine = (run.fleet.core if program == "controlplane" else run.fleet.edges)[0]
+            await run.fleet.start_beside(machine)
+            await until_served(run.fleet.edges[0])
+            assert machine.process is not None and machine.process.returncode is None
+            async with asyncio.timeout(UP_TIMEOUT_S):
+                while await run.replace_configuration() != 200:
+                    await asyncio.sleep(0.2)
+
+    asyncio.run(scenario())
+
+
+def test_soft_limit_on_descriptors_is_raised(net: int, tmp_path: Path) -> None:
+    """With that many connections open, the event loop closed new ones before their requests were read."""
+
+    async def scenario() -> None:
+        conditions = Conditions(soft_descriptors=64, hard_descriptors=900)
+        async with system(tmp_path, net, conditions) as run:
+            gateway, statuses = run.fleet.edges[0], []
+            connections = [await asyncio.open_connection(gateway.ip, FRONT_PORT) for _ in range(150)]
+            for reader, writer in connections:
+                statuses.append(await ask(reader, writer))
+            for _, writer in connections:
+                writer.close()
+            assert 0 not in statuses
+            assert statuses.count(200) > 100  # some servers are sick
+
+    asyncio.run(scenario())
+
+
+def test_settings_file_that_is_still_being_written_is_waited_for(net: int, tmp_path: Path) -> None:
+    """A process that met half a file ended with 2."""
+
+    async def scenario() -> None:
+        run = Run(Plan(1, gateways=1, control=1), tmp_path, net)
+        gateway = run.fleet.edges[0]
+        path = run.fleet.settings(gateway, True)
+        whole = path.read_text()
+        write, run.fleet.settings = run.fleet.settings, lambda machine, first: path  # type: ignore[method-assign]
+        path.write_text(whole[: len(whole) // 2])
+        await run.fleet.start(gateway, True)
+        await asyncio.sleep(0.7)
+        path.write_text(whole)
+        async with asyncio.timeout(UP_TIMEOUT_S):
+            while (await call((gateway.ip, READINESS_PORT), "GET", "/readiness"))[0] != 503:
+                await asyncio.sleep(0.1)
+        run.fleet.settings = write  # type: ignore[method-assign]
+        await run.fleet.stop_all()
+        assert run.record.faults == []
+
+    asyncio.run(scenario())
+
+
+def test_process_that_waits_for_its_disk_can_be_stopped(net: int, tmp_path: Path) -> None:
+    """A disk that can't be used ended the process; it may be usable a moment later."""
+
+    async def scenario() -> None:
+        run = Run(Plan(1, gateways=1, control=1), tmp_path, net)
+        machine = run.fleet.core[0]
+        home = tmp_path / machine.name
+        home.mkdir()
+        run.fleet.disk(machine).write_text("a file where the folder belongs")
+        machine.conditions = Conditions(folder_exists=False)
+        await run.fleet.start(machine, True)
+        await asyncio.sleep(1.5)
+        assert machine.process is not None and machine.process.returncode is None
+        await run.fleet.restart(machine, 0.0)
+        assert len(run.record.lives[machine.ip]) == 2
+        await asyncio.sleep(1.0)
+        run.fleet.disk(machine).unlink()
+        async with asyncio.timeout(UP_TIMEOUT_S):
+            while not run.fleet.disk(machine).exists():
+                await asyncio.sleep(0.1)
+        await run.fleet.stop_all()
+        assert run.record.faults == []
+        killed = [life.killed_at < math.inf for life in run.record.lives[machine.ip]]
+        assert killed == [False, False]
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_soak_on_machines_that_nobody_prepared(seed: int, net: int, tmp_path: Path) -> None:
+    found, counts = play(Plan(seed, seconds=8.0, strange=True), tmp_path, net)
+    assert not found, "\n".join(map(str, found[:10]))
+    assert counts["processes begun"] > 7
+
+
+def test_fault_rule_counts_ends_of_three_processes_on_two_machines() -> None:
+    record = Record(0.0, 3.0)
+    for address in ("a", "b", "c"):
+        assert record.lives[address] == []
+    record.own_ends["a"] += [(1.0, "x"), (2.0, "x"), (3.0, "x")]
+    record.own_ends["b"] += [(1.0, "x"), (2.0, "x")]
+    assert record.findings() == []
+    record.own_ends["b"].append((4.0, "b ended"))
+    assert [finding.rule for finding in record.findings()] == ["FAULT"]
+    record.own_ends["b"].clear()
+    record.control = {"a", "c"}
+    assert [finding.rule for finding in record.findings()] == ["FAULT"]
+
+
+def test_closed_standard_streams_don_t_hand_their_descriptors_to_files(net: int, tmp_path: Path) -> None:
+    """Messages of libraries went into whatever had the number of standard error."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions(LogSink.CLOSED)) as run:
+            for machine in [*run.fleet.core, *run.fleet.edges]:
+                assert machine.process is not None
+                folder = Path(f"/proc/{machine.process.pid}/fd")
+                assert [str((folder / str(number)).readlink()) for number in range(3)] == ["/dev/null"] * 3
+
+    asyncio.run(scenario())
