Write logs from a thread, so that output that nobody takes stops no process

Callers saw all requests time out once the pipe of a process's output was full, and no change of the configuration acknowledged once its reader had ended or its device was full. Cause: events were written in the event loop, where a write blocks, or raises in the middle of what logged.

--- a/latchspoke/controlplane/__main__.py
+++ b/latchspoke/controlplane/__main__.py
@@ -5,10 +5,14 @@
 import signal
 import sys
 
-# A supervisor may send SIGHUP at any time. The settings are read below anyway.
+# SIGHUP (reload) may arrive before the handler is installed; the settings are read later anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from latchspoke.controlplane.node import main  # noqa: E402
+from latchspoke.transport.output import background_output  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(main())
+    with background_output():
+        from latchspoke.controlplane.node import main
+
+        exit_code = main()
+    sys.exit(exit_code)
