Let a starting process wait for its addresses, its disk and its settings file

Callers saw nobody at a machine whose next process was started while the old one still drained: it ended with a traceback, as the address was in use, and nobody was there once the old one had ended. A disk that couldn't be used for a moment, or a settings file that was being written, ended a process in the same way, with 1 and 2. Class: what a start needs and may have a moment later. It waits: for addresses 30 s, for a valid file 2 s, for its disk as long as it takes; SIGTERM ends the wait in order, and the file is read again.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -39,7 +39,7 @@
 from latchspoke.distribution.published_state import CommittedState, Subscriber, decode_entries
 from latchspoke.membership.protocol import MembershipEvent
 from latchspoke.membership.transport import COMPRESSION_META_KEY
-from latchspoke.node_process import CONTROL_PORT_OFFSET, NodeProcess
+from latchspoke.node_process import CONTROL_PORT_OFFSET, NodeProcess, NotStartableError
 from latchspoke.outliers.evidence import EvidenceStore
 from latchspoke.registry.registry import Entry, HeartbeatError, State, parse_heartbeat
 from latchspoke.transport.connection import Message, MessageConnection
@@ -88,7 +88,7 @@
     PORT_OFFSET = CONTROL_PORT_OFFSET
 
     def build(self) -> None:
-        """Create the parts of the control-plane node and connect them. Raises RaftStoreError."""
+        """Create the parts of the control-plane node and connect them. Raises NotStartableError."""
         s = self.settings
         self.own_name = self.internal_endpoint
         founders = tuple(f"{host}:{port}" for host, port in self.seed_addresses())
@@ -98,14 +98,12 @@
         self.peers = Peers(
             self.own_name, self.peer_connected, self.handle_peer_reply, self.relays, topology, self.clock.now
         )
-        assert s.data_directory is not None
-        self.replica = Replica(
-            self.own_name, founders, s.initial_start, Path(s.data_directory),
-            self.send_store_message,  # type: ignore[arg-type]
-            apply_patch,  # type: ignore[arg-type]
-            self.store_applied, self.clock.now, lambda event, fields: log(event, **fields),
-            catch_up=s.bound("catchUpS", DEFAULT_CATCH_UP_S),
-        )  # fmt: skip
+        if s.data_directory is None:
+            raise NotStartableError("dataDirectory is missing: a control machine needs a disk")
+        try:
+            self.replica = self.open_replica(founders, s.data_directory)
+        except RaftStoreError as error:
+            raise NotStartableError(str(error)) from None
         meta = {
             "role": "core",
             "zone": s.zone,
@@ -150,6 +148,16 @@
 
     # The replicated store.
 
+    def open_replica(self, founders: tuple[str, ...], home: Path) -> Replica:
+        """The replica on this machine's disk. Raises RaftStoreError."""
+        return Replica(
+            self.own_name, founders, self.settings.initial_start, home,
+            self.send_store_message,  # type: ignore[arg-type]
+            apply_patch,  # type: ignore[arg-type]
+            self.store_applied, self.clock.now, lambda event, fields: log(event, **fields),
+            catch_up=self.settings.bound("catchUpS", DEFAULT_CATCH_UP_S),
+        )  # fmt: skip
+
     def send_store_message(self, name: str, message: Message) -> None:
         """Send a message of the replicated store to another control-plane node."""
         self.peers.send(name, {"k": "reg", "m": message})
@@ -638,19 +646,14 @@
     # Lifecycle.
 
     async def start(self) -> None:
-        """Listen and start the periodic work. Raises OSError."""
+        """Listen and start the periodic work. Raises AddressInUseError."""
         s = self.settings
-        create = self.loop.create_server
         self.replica.start()  # before a request can arrive
         await self.listen_internal(self.membership_transport)
         for name in ("controlPlane", "directoryService"):
             if name in s.listen_addresses:
-                self.listeners.append(
-                    await create(
-                        lambda: HttpServerConnection(self.handle_request),
-                        *s.listen_addresses[name],
-                        backlog=512,
-                    )
+                await self.listen(
+                    lambda: HttpServerConnection(self.handle_request), s.listen_addresses[name], 512
                 )
         self.control_nodes_changed()
         now = self.clock.now()
@@ -697,5 +700,5 @@
 
 
 def main(path: str | None = None) -> int:
-    """Exit codes: 0 orderly shutdown, 1 unusable store of the replicated log, 2 invalid settings."""
-    return node_process.main("controlplane", Node, path, RaftStoreError)
+    """Returns the exit code: 0 orderly shutdown, 1 addresses in use, 2 invalid settings."""
+    return node_process.main("controlplane", Node, path)
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -509,22 +509,20 @@
     # Lifecycle.
 
     async def start(self) -> None:
-        """Open the listeners and start the periodic work. Raises OSError."""
+        """Open the listeners and start the periodic work. Raises AddressInUseError."""
         settings = self.settings
         front_address, readiness_address = (
             settings.listen_addresses["frontPlain"],
             settings.listen_addresses.get("readiness"),
         )
-        create_server = self.loop.create_server
         await self.listen_internal(self.membership_transport)
         if readiness_address is not None:
-            self.listeners.append(
-                await create_server(
-                    lambda: HttpServerConnection(self.handle_request), *readiness_address, backlog=64
-                )
-            )
-        self.front_listener = await create_server(
-            lambda: ClientConnection(self.downstream), *front_address, backlog=1024
+            await self.listen(lambda: HttpServerConnection(self.handle_request), readiness_address, 64)
+        self.front_listener = await self.bind(
+            front_address,
+            lambda: self.loop.create_server(
+                lambda: ClientConnection(self.downstream), *front_address, backlog=1024
+            ),
         )
         self.update_gateways()
         self.spawn(self.subscription.run())
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -11,6 +11,8 @@
 import random
 import signal
 import sys
+import time
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from latchspoke.configuration.patch import diff
@@ -33,6 +35,18 @@
 GATEWAY_PORT_OFFSET, CONTROL_PORT_OFFSET = 0, 1
 LOG_OPEN_DELAY_S = 1.0  # after the start
 FLUSH_DELAY_S = 0.02  # before exit, for the last bytes written
+SETTINGS_TIMEOUT_S = 2.0  # that a start waits for a settings file that is being written
+BIND_TIMEOUT_S = 30.0  # that a start waits for its addresses, such as those of a process that still drains
+START_RETRY_S = 0.1
+RETRY_LOG_INTERVAL_S = 5.0
+
+
+class NotStartableError(Exception):
+    """A process can't start at present; the message is one line."""
+
+
+class AddressInUseError(NotStartableError):
+    """An address of the settings file can't be bound."""
 
 
 class NodeProcess:
@@ -71,7 +85,7 @@
     # Implemented by each kind of process.
 
     def build(self) -> None:
-        """Create the parts of this kind of process."""
+        """Create the parts of this kind of process. Raises NotStartableError."""
         raise NotImplementedError
 
     def handle_proof_request(self, connection: MessageConnection, proof_id: int) -> None:
@@ -91,7 +105,7 @@
         raise NotImplementedError
 
     async def start(self) -> None:
-        """Listen and start the periodic work. Raises OSError."""
+        """Listen and start the periodic work. Raises AddressInUseError."""
         raise NotImplementedError
 
     # Common to all processes.
@@ -111,17 +125,38 @@
         return [(host, self.settings.port_range[0] + CONTROL_PORT_OFFSET) for host, _ in self.settings.seeds]
 
     async def listen_internal(self, transport: MembershipTransport) -> None:
-        """Listen on the internal port, for the membership and for connections. Raises OSError."""
-        await transport.start(*self.internal_address)
-        create_server = self.loop.create_server
-        self.listeners.append(
-            await create_server(
-                lambda: MessageConnection(self.inbound_message, self.inbound_closed),
-                *self.internal_address,
-                backlog=256,
-            )
+        """Listen on the internal port, for the membership and for connections. Raises AddressInUseError."""
+        await self.bind(self.internal_address, lambda: transport.start(*self.internal_address))
+        await self.listen(
+            lambda: MessageConnection(self.inbound_message, self.inbound_closed), self.internal_address, 256
         )
 
+    async def listen(
+        self, protocol: Callable[[], asyncio.Protocol], address: tuple[str, int], backlog: int
+    ) -> asyncio.Server:
+        """Listen on an address until the end of the process. Raises AddressInUseError."""
+        server: asyncio.Server = await self.bind(
+            address, lambda: self.loop.create_server(protocol, *address, backlog=backlog)
+        )
+        self.listeners.append(server)
+        return server
+
+    async def bind(self, address: tuple[str, int], bind: Callable[[], Awaitable[Any]]) -> Any:
+        """Call ``bind`` until the address is free. Raises AddressInUseError."""
+        started_at = time.monotonic()
+        logged_at = -RETRY_LOG_INTERVAL_S
+        while True:
+            try:
+                return await bind()
+            except OSError as error:
+                now, reason = time.monotonic(), f"{address[0]}:{address[1]}: {error}"
+                if now - started_at >= BIND_TIMEOUT_S:
+                    raise AddressInUseError(reason) from None
+                if now - logged_at >= RETRY_LOG_INTERVAL_S:
+                    log("waits-for-address", why=reason)
+                    logged_at = now
+            await asyncio.sleep(START_RETRY_S)
+
     def serving_started(self, **fields: Any) -> None:
         """The process serves; open the log a little later, when it delays nobody."""
         settings = self.settings
@@ -155,45 +190,121 @@
         self.membership_transport.set_seeds(self.seed_addresses())
 
 
-async def run(
-    node_class: type[NodeProcess], settings: Settings, path: str, initial_stamp: FileStamp | None
-) -> None:
-    """Run a process from start to SIGTERM. ``initial_stamp``: of the settings file before it was read."""
-    loop = asyncio.get_running_loop()
-    node = node_class(settings, loop, path)
-    node.settings_watch.loaded_stamp = initial_stamp
-    asked_to_stop = asyncio.Event()
-    set_signal_handler(loop, signal.SIGHUP, node.reload)
-    for signal_number in TERMINATION_SIGNALS:
-        set_signal_handler(loop, signal_number, asked_to_stop.set)
-    await node.start()
-    for signal_number in TERMINATION_SIGNALS:
-        set_signal_handler(loop, signal_number, node.stop)
-    if asked_to_stop.is_set():
-        node.stop()  # an orderly shutdown, as clients may have connected meanwhile
-    gc.collect()
-    gc.freeze()
-    await node.stopped.wait()
-    await asyncio.sleep(FLUSH_DELAY_S)
-    ignore_signals()
-
-
-def main(
-    name: str, node_class: type[NodeProcess], path: str | None = None, *startup_errors: type[Exception]
-) -> int:
-    """Run a process. Exit codes: 0 orderly shutdown, 1 one of ``startup_errors``, 2 invalid settings."""
+class ProcessRun:
+    """One process from start to SIGTERM."""
+
+    def __init__(self, node_class: type[NodeProcess], path: str) -> None:
+        self.node_class, self.path = node_class, path
+        self.stop_requested = asyncio.Event()
+        self.node: NodeProcess | None = None
+
+    async def run(self, settings: Settings, initial_stamp: FileStamp | None) -> None:
+        """``initial_stamp``: of the settings file before it was read. Raises AddressInUseError."""
+        loop = asyncio.get_running_loop()
+        set_signal_handler(loop, signal.SIGHUP, self.reload)
+        for signal_number in TERMINATION_SIGNALS:
+            set_signal_handler(loop, signal_number, self.stop_requested.set)
+        try:
+            node = self.node = await self.until_stop_requested(self.build(settings, initial_stamp))
+            await self.until_stop_requested(node.start())
+        except StoppedWhileStartingError:
+            ignore_signals()
+            return
+        for signal_number in TERMINATION_SIGNALS:
+            set_signal_handler(loop, signal_number, node.stop)
+        if self.stop_requested.is_set():
+            node.stop()  # an orderly shutdown, as clients may have connected meanwhile
+        gc.collect()
+        gc.freeze()
+        await node.stopped.wait()
+        await asyncio.sleep(FLUSH_DELAY_S)
+        ignore_signals()
+
+    def reload(self) -> None:
+        """SIGHUP: the settings file has changed. While the process is being built, it is read anyway."""
+        if self.node is not None:
+            self.node.reload()
+
+    async def build(self, settings: Settings, stamp: FileStamp | None) -> NodeProcess:
+        """The node, once it can be built; until then, changed settings are taken over."""
+        logged_at = -RETRY_LOG_INTERVAL_S
+        while True:
+            try:
+                node = self.node_class(settings, asyncio.get_running_loop(), self.path)
+            except NotStartableError as error:
+                if time.monotonic() - logged_at >= RETRY_LOG_INTERVAL_S:
+                    logged_at = time.monotonic()
+                    print(f"waits: {error}", file=sys.stderr)
+            else:
+                node.settings_watch.loaded_stamp = stamp
+                return node
+            await asyncio.sleep(START_RETRY_S)
+            settings, stamp = reread_settings(self.path, settings, stamp)
+
+    async def until_stop_requested(self, step: Any) -> Any:
+        """The result of a step of the start. Raises StoppedWhileStartingError if asked to stop meanwhile."""
+        stopping = asyncio.ensure_future(self.stop_requested.wait())
+        task = asyncio.ensure_future(step)
+        try:
+            await asyncio.wait((task, stopping), return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                task.cancel()
+                raise StoppedWhileStartingError
+            return task.result()
+        finally:
+            stopping.cancel()
+
+
+class StoppedWhileStartingError(Exception):
+    """The process was asked to stop before it had started."""
+
+
+def reread_settings(
+    path: str, settings: Settings, stamp: FileStamp | None
+) -> tuple[Settings, FileStamp | None]:
+    """The settings, read again if the file has changed and is valid, and the stamp of the file."""
+    new_stamp = file_stamp(path)
+    if new_stamp == stamp:
+        return settings, stamp
+    try:
+        return load_settings(path), new_stamp
+    except SettingsError:
+        return settings, stamp
+
+
+def load_initial_settings(path: str) -> tuple[Settings, FileStamp | None]:
+    """The settings, and the stamp of the file before it was read; waits for a file that is being written.
+
+    Raises SettingsError.
+    """
+    started_at = time.monotonic()
+    while True:
+        stamp = file_stamp(path)
+        try:
+            return load_settings(path), stamp
+        except SettingsError:
+            if time.monotonic() - started_at >= SETTINGS_TIMEOUT_S:
+                raise
+        time.sleep(START_RETRY_S)
+
+
+def main(name: str, node_class: type[NodeProcess], path: str | None = None) -> int:
+    """Run a process. Exit codes: 0 orderly shutdown, 1 its addresses are in use, 2 invalid settings."""
     import uvloop
 
     path = path or os.environ.get(SETTINGS_FILE_VARIABLE, "/etc/latchspoke/local.yaml")
-    initial_stamp = file_stamp(path)
     try:
-        settings = load_settings(path)
+        settings, initial_stamp = load_initial_settings(path)
     except SettingsError as error:
         print(f"{name}: {error}", file=sys.stderr)
         return 2
+
+    async def run() -> None:
+        await ProcessRun(node_class, path).run(settings, initial_stamp)
+
     try:
-        uvloop.run(run(node_class, settings, path, initial_stamp))
-    except startup_errors as error:
+        uvloop.run(run())
+    except AddressInUseError as error:
         print(f"{name}: {error}", file=sys.stderr)
         return 1
     return 0
