Raise the soft limit on descriptors to what the settings allow

Callers' connections were reset at gateways with some 1,000 clients: most systems set a soft limit of 1,024 descriptors, the settings say 4,100, and the gateway counted its sockets against the settings.

--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -15,6 +15,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
+
 from latchspoke.configuration.patch import diff
 from latchspoke.distribution.published_state import PublishedState
 from latchspoke.distribution.publisher import Publisher
@@ -25,6 +27,7 @@
 from latchspoke.net.clock import Clock
 from latchspoke.net.signals import TERMINATION_SIGNALS, ignore_signals, set_signal_handler
 from latchspoke.pool.versions import PoolVersions
+from latchspoke.process_limits import raise_descriptor_limit
 from latchspoke.registry.registry import HeartbeatError, Registry
 from latchspoke.settings import SETTINGS_FILE_VARIABLE, Settings, SettingsError, load_settings
 from latchspoke.settings.watcher import FileStamp, SettingsWatcher, file_stamp
@@ -230,7 +233,7 @@
         logged_at = -RETRY_LOG_INTERVAL_S
         while True:
             try:
-                node = self.node_class(settings, asyncio.get_running_loop(), self.path)
+                node = self.node_class(limit_descriptors(settings), asyncio.get_running_loop(), self.path)
             except NotStartableError as error:
                 if time.monotonic() - logged_at >= RETRY_LOG_INTERVAL_S:
                     logged_at = time.monotonic()
@@ -259,6 +262,12 @@
     """The process was asked to stop before it had started."""
 
 
+def limit_descriptors(settings: Settings) -> Settings:
+    """The settings with the descriptors that the operating system allows, after raising its limit."""
+    allowed = raise_descriptor_limit(settings.file_descriptors)
+    return msgspec.structs.replace(settings, file_descriptors=allowed)
+
+
 def reread_settings(
     path: str, settings: Settings, stamp: FileStamp | None
 ) -> tuple[Settings, FileStamp | None]:
