Create a missing data directory, and set a damaged store aside in place of ending

Callers saw no configuration taken, or 503 once two control machines had lost their disks: a process whose data directory isn't there ended with 1 at each start, as did one whose files are damaged or an older copy. Class: a disk that is lost, or as good as lost, is borne (faultTolerance), so it must not keep a machine from coming back. The folder is created; a damaged store is moved into a folder beside it, and the machine joins with a new identity, never as a founder, as its votes are forgotten. A folder that is removed under a running process is noticed within a second; it went on voting on a file that no restart would have found.

--- a/latchspoke/agent/raft_store.py
+++ b/latchspoke/agent/raft_store.py
@@ -21,6 +21,8 @@
 from latchspoke.consensus.records import Entry, HardState, Members, Snapshot, Stored
 
 LAYOUT = 1
+LOCK_TIMEOUT_S = 5.0  # that an open waits for another process
+DAMAGE_CODES = frozenset((sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB))
 TABLES = """
 CREATE TABLE IF NOT EXISTS facts (name TEXT PRIMARY KEY, body BLOB NOT NULL, crc INTEGER NOT NULL);
 CREATE TABLE IF NOT EXISTS entries (place INTEGER PRIMARY KEY, body BLOB NOT NULL, crc INTEGER NOT NULL);
@@ -31,6 +33,10 @@
     """The store can't be used, or a write failed; the message is one line."""
 
 
+class DamagedStoreError(RaftStoreError):
+    """The store is damaged, incomplete or an older copy, so that its member may have forgotten votes."""
+
+
 class StartRecord(msgspec.Struct, frozen=True):
     """The member that this store belongs to, and the number of its starts."""
 
@@ -42,20 +48,27 @@
 def translate_errors(path: Path) -> Iterator[None]:
     try:
         yield
-    except (sqlite3.Error, OSError) as e:
+    except sqlite3.Error as e:
+        # The lower byte is the primary result code; the others tell details.
+        if getattr(e, "sqlite_errorcode", 0) & 0xFF in DAMAGE_CODES:
+            raise DamagedStoreError(f"{path} is damaged: {e}") from None
+        raise RaftStoreError(f"{path} can't be used: {e}") from None
+    except OSError as e:
         raise RaftStoreError(f"{path} can't be used: {e}") from None
     except msgspec.MsgspecError as e:
-        raise RaftStoreError(f"{path} holds what can't be read: {e}") from None
+        raise DamagedStoreError(f"{path} holds what can't be read: {e}") from None
 
 
 class RaftStore:
     """One open database. Calls may come from any thread, one at a time."""
 
-    def __init__(self, path: Path, exclusive: bool = False) -> None:
+    def __init__(self, path: Path, exclusive: bool = False, lock_timeout_s: float = LOCK_TIMEOUT_S) -> None:
         """``exclusive``: no other process opens the file, so SQLite needs no shared memory."""
         self.path, self.start_file, self.exclusive = path, path.with_suffix(".start"), exclusive
         with translate_errors(path):
-            self.db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+            self.db = sqlite3.connect(
+                path, timeout=lock_timeout_s, isolation_level=None, check_same_thread=False
+            )
             try:
                 self.open_database()
             except BaseException:
@@ -73,7 +86,7 @@
             raise RaftStoreError(f"{self.path}: its layout is {layout}, this program knows {LAYOUT}")
         (result,) = self.db.execute("PRAGMA quick_check(1)").fetchone()
         if result != "ok":
-            raise RaftStoreError(f"{self.path} is damaged: {result}")
+            raise DamagedStoreError(f"{self.path} is damaged: {result}")
         names = {row[0] for row in self.db.execute("SELECT name FROM sqlite_master WHERE type = 'table'")}
         if names - {"facts", "entries"}:
             raise RaftStoreError(
@@ -112,9 +125,9 @@
             return self.read_state(started)
 
     def check_start(self, stored: StartRecord, recorded: StartRecord) -> None:
-        """Raise RaftStoreError for an older copy: the start file is never ahead of its database."""
+        """Raise DamagedStoreError for an older copy: the start file is never ahead of its database."""
         if stored.identity != recorded.identity or stored.boot < recorded.boot:
-            raise RaftStoreError(
+            raise DamagedStoreError(
                 f"{self.path} is of start {stored.boot} of {stored.identity}, but {self.start_file.name}"
                 f" records start {recorded.boot} of {recorded.identity}: an older copy; remove this member"
                 " and add it again as a new one"
@@ -139,11 +152,11 @@
         for place, body, crc in self.db.execute("SELECT place, body, crc FROM entries ORDER BY place"):
             entry: Entry = msgspec.msgpack.decode(self.check_crc(body, crc, f"entry {place}"), type=Entry)
             if entries and entry.index != entries[-1].index + 1:
-                raise RaftStoreError(f"{self.path}: entry {entries[-1].index + 1} is missing")
+                raise DamagedStoreError(f"{self.path}: entry {entries[-1].index + 1} is missing")
             entries.append(entry)
         loaded_snapshot = msgspec.msgpack.decode(snapshot, type=Snapshot) if snapshot else Snapshot()
         if entries and entries[0].index != loaded_snapshot.index + 1:
-            raise RaftStoreError(f"{self.path}: entry {loaded_snapshot.index + 1} is missing")
+            raise DamagedStoreError(f"{self.path}: entry {loaded_snapshot.index + 1} is missing")
         loaded_hard_state = msgspec.msgpack.decode(hard_state, type=HardState) if hard_state else HardState()
         return Stored(start.identity, start.boot, loaded_hard_state, loaded_snapshot, tuple(entries))
 
@@ -191,5 +204,5 @@
 
     def check_crc(self, body: bytes, crc: int, what: str) -> bytes:
         if zlib.crc32(body) != crc:
-            raise RaftStoreError(f"{self.path}: {what} is damaged")
+            raise DamagedStoreError(f"{self.path}: {what} is damaged")
         return body
--- a/latchspoke/configstore/replica.py
+++ b/latchspoke/configstore/replica.py
@@ -16,21 +16,22 @@
 
 from latchspoke.agent.raft_store import RaftStore, RaftStoreError
 from latchspoke.configstore.config_state import UNKNOWN, ApplyPatch, Command, ConfigState, Verdict
+from latchspoke.configstore.disk import DATABASE_FILE as DATABASE_FILE
+from latchspoke.configstore.disk import LogEvent, ReplicaDisk
 from latchspoke.configstore.messages import Message
 from latchspoke.configstore.store_node import Answer, StoreNode, founding_snapshot, identity_suffix
 from latchspoke.configstore.voters import DEFAULT_CATCH_UP_S, Location
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import name_of
 
-DATABASE_FILE = "register.db"
 MIN_TIMER_DELAY_S = 0.0002  # a timer rounded to just before the due time would fire again and again
 DISK_RETRY_S = 0.25  # until a failed write is retried
 HANDOVER_TIMEOUT_S = 0.3  # that a stopping leader waits for its successor
 RECOVERY_DELAY_S = 0.5  # from an internal error to the reload from disk
+DISK_CHECK_INTERVAL_S = 1.0  # between checks that the store's file is still there
 STARTUP_READ_TIMEOUT_S = 5.0  # time limit of the reads that confirm the state after a start
 
 SendMessage = Callable[[str, Message], None]  # sends a message to the process of a name
-LogEvent = Callable[[str, dict[str, Any]], None]
 
 
 def discard_event(event: str, fields: dict[str, Any]) -> None:
@@ -62,12 +63,9 @@
         self.name, self.send, self.on_applied, self.clock, self.log = name, send, on_applied, clock, log
         self.founders, self.first_start, self.apply_patch = founders, first_start, apply_patch
         self.catch_up = catch_up
-        self.ledger = RaftStore(home / DATABASE_FILE, exclusive=True)
-        try:
-            self.node = self.load_node()
-        except BaseException:
-            self.ledger.close()
-            raise
+        self.disk = ReplicaDisk(home, log)
+        self.disk_checked_at = clock()
+        self.node = self.load_node()
         self.startup_read_id = 0  # the read that confirms the state after a start
         self.failed = False  # after an internal error, until the node is reloaded from disk
         self.pending_answers: dict[int, asyncio.Future[Answer]] = {}
@@ -81,13 +79,22 @@
 
     def load_node(self) -> StoreNode:
         """Creates the node from the contents of the disk, as after a crash. Raises RaftStoreError."""
-        suffix = identity_suffix(self.name, self.founders, self.first_start, secrets.token_hex(4))
-        image = founding_snapshot(self.founders, ConfigState(self.apply_patch))
-        stored = self.ledger.start(self.name, suffix, suffix == "first", image)
+        self.ledger: RaftStore
+        self.ledger, stored = self.disk.load(
+            self.name,
+            self.choose_identity_suffix,
+            founding_snapshot(self.founders, ConfigState(self.apply_patch)),
+        )
+        self.first_start = False  # a store that is lost from now on isn't a founder's any more
         return StoreNode(
             stored, self.founders, self.apply_patch, self.rng, self.clock(), catch_up=self.catch_up
         )
 
+    def choose_identity_suffix(self, had_store: bool) -> str:
+        """The suffix of this member's identity if its disk is empty; ``had_store``: it was not always."""
+        first_start = self.first_start and not had_store
+        return identity_suffix(self.name, self.founders, first_start, secrets.token_hex(4))
+
     @property
     def state(self) -> ConfigState:
         """The applied state. Don't modify it or keep its document across changes."""
@@ -138,7 +145,7 @@
             self.timer.cancel()
         self.node.fail_pending()
         self.deliver_answers()
-        self.ledger.close()
+        self.disk.close()
 
     @property
     def unavailable(self) -> bool:
@@ -225,6 +232,7 @@
     def tick(self) -> None:
         """The timer fired: recovers after an internal error, retries the disk, runs due timers."""
         self.timer = None
+        self.check_disk()
         if self.failed:
             self.recover()
         if not self.unavailable:
@@ -263,6 +271,16 @@
         self.deliver_answers()
         self.set_timer(RECOVERY_DELAY_S)
 
+    def check_disk(self) -> None:
+        """Gives up the state in memory, if the store's file has been removed: it would not last."""
+        now = self.clock()
+        if self.failed or now - self.disk_checked_at < DISK_CHECK_INTERVAL_S:
+            return
+        self.disk_checked_at = now
+        if self.disk.is_gone():
+            self.disk.close()
+            self.on_fault(RaftStoreError(f"{self.disk.home / DATABASE_FILE} is gone"))
+
     def recover(self) -> None:
         """Reloads the node from disk after an internal error."""
         locations = {name: self.node.locations[name] for name in self.node.live_names}
--- a/latchspoke/lab/system/machines.py
+++ b/latchspoke/lab/system/machines.py
@@ -12,7 +12,7 @@
 from unittest import mock
 
 from latchspoke.agent.raft_store import RaftStoreError
-from latchspoke.configstore import replica
+from latchspoke.configstore import disk, replica
 from latchspoke.configstore.simulation import Disk
 from latchspoke.consensus.member import Output
 from latchspoke.consensus.records import Snapshot, Stored
@@ -444,6 +444,19 @@
         spans.append([now, now + step])
 
 
+class SimulatedReplicaDisk(disk.ReplicaDisk):
+    """A replica's disk without a folder; its files are a ``SimulatedLedger``."""
+
+    def create_home(self) -> None:
+        pass
+
+    def has_set_aside(self) -> bool:
+        return False
+
+    def is_gone(self) -> bool:
+        return False
+
+
 class ReplicaRandom:
     """Deterministic replacement for ``random`` and ``secrets`` in the configuration store's replica."""
 
@@ -465,13 +478,13 @@
     """Run the programs with simulated disks, seeded randomness and logs that go into the day record."""
     seeded: Any = replica_random
 
-    def ledger(path: Path, exclusive: bool = False) -> SimulatedLedger:
+    def ledger(path: Path, exclusive: bool, lock_timeout_s: float) -> SimulatedLedger:
         return SimulatedLedger(
             next(m for m in fleet.machines if fleet.home / m.name / replica.DATABASE_FILE == path)
         )
 
     replacements = {
-        "RaftStore": ledger,
+        "ReplicaDisk": SimulatedReplicaDisk,
         "random": seeded,
         "secrets": seeded,
     }
@@ -479,6 +492,7 @@
     try:
         with (
             mock.patch.multiple(replica, **replacements),
+            mock.patch.object(disk, "RaftStore", ledger),
             mock.patch.object(Stats, "show", lambda self: None),
         ):
             yield
