Ignore SIGHUP before anything is imported, and start programs without site

Callers of a machine whose process got SIGHUP in its first 50 ms found nobody there: the signal ended it, in 40 of 40 starts with SIGHUP after 0 to 78 ms. Cause: it was ignored only once the interpreter had imported site, runpy and signal. deploy/start.py does it first, by the built-in module, and python3 -S leaves site out unless libraries are missing from the path.

--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,40 @@
+"""Starts one of the system's programs: ``python3 -S deploy/start.py dataplane|controlplane``.
+
+Until SIGHUP is ignored it ends a process. So that comes first, without the imports that ``python3 -m`` and
+Python's ``site`` make before any line of the program; ``site`` is loaded only where libraries need it.
+"""
+
+import _signal  # type: ignore[import-not-found]
+
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+
+import sys  # noqa: E402
+
+PROGRAMS = ("dataplane", "controlplane")
+
+
+def find_libraries(root: str) -> None:
+    """Make the libraries importable, if they aren't on the path that was given."""
+    try:
+        import msgspec  # noqa: F401
+    except ModuleNotFoundError:
+        import site
+
+        site.main()
+        sys.path.append(f"{root}/target/deps")
+
+
+def main() -> None:
+    """Run the program that the command line names."""
+    if len(sys.argv) != 2 or sys.argv[1] not in PROGRAMS:
+        sys.exit(f"usage: start.py {'|'.join(PROGRAMS)}")
+    root = __file__.rpartition("/")[0].rpartition("/")[0] or "."
+    sys.path[0] = root
+    find_libraries(root)
+    from latchspoke.program import run_program
+
+    run_program(sys.argv[1])
+
+
+if __name__ == "__main__":
+    main()
--- a/latchspoke/dataplane/__main__.py
+++ b/latchspoke/dataplane/__main__.py
@@ -3,16 +3,11 @@
 from __future__ import annotations
 
 import signal
-import sys
 
 # SIGHUP (reload) may arrive before the handler is installed; the settings are read later anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-from latchspoke.transport.output import background_output  # noqa: E402
+from latchspoke.program import run_program  # noqa: E402
 
 if __name__ == "__main__":
-    with background_output():
-        from latchspoke.dataplane.node import main
-
-        exit_code = main()
-    sys.exit(exit_code)
+    run_program("dataplane")
