Bound the memory of bodies at control machines, and decode large orders one after the other

Large configurations are decoded one after the other, and not at all once their caller has left to send them again. The test of bodies has three of five refused; without a budget all five are held.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -42,6 +42,7 @@
 from latchspoke.node_process import CONTROL_PORT_OFFSET, NodeProcess, NotStartableError
 from latchspoke.outliers.evidence import EvidenceStore
 from latchspoke.registry.registry import Entry, HeartbeatError, State, parse_heartbeat
+from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import Message, MessageConnection
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
 from latchspoke.transport.log import log
@@ -60,6 +61,8 @@
 UNCLEAR_WAIT_S = 0.5
 DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an evacuation call
 RESOLUTION_TTL_S = 1.0  # how long clients cache a gateway look-up
+BODY_MEMORY_FRACTION = 0.15  # of the memory limit, for the bodies of calls
+LARGE_ORDER_BYTES = 256 * 1024  # a decoded configuration takes many times its size
 MAX_CHECK_ATTEMPTS = 3  # a patch is checked again when its base version has changed meanwhile
 RECEIPT: Message = {"k": "heard"}  # answers a message without a reply, to show that the path works
 STATUS_BY_VERDICT = {"taken": 200, "repeated": 200, "conflict": 412, "invalid": 400}
@@ -129,8 +132,8 @@
         self.handlers: dict[str, Callable[[ApiCall, bytes, Caller], Response | Awaitable[Response]]] = {
             "instances.heartbeat": lambda call, body, caller: self.handle_heartbeat(call.subject, body),
             "instances.deregister": lambda call, body, caller: self.handle_deregistration(call.subject),
-            "configuration.replace": lambda call, body, caller: self.handle_configuration(body),
-            "configuration.modify": lambda call, body, caller: self.handle_configuration(body),
+            "configuration.replace": lambda call, body, caller: self.handle_configuration(body, caller),
+            "configuration.modify": lambda call, body, caller: self.handle_configuration(body, caller),
             "configuration.read": lambda call, body, caller: self.handle_configuration_read(),
             "evacuation.begin": lambda call, body, caller: self.handle_evacuation(call, caller),
             "evacuation.finish": lambda call, body, caller: self.handle_evacuation(call, caller),
@@ -143,6 +146,8 @@
             "GET /history": lambda call, body, caller: self.show_view("history"),
             "GET /register/copy": lambda call, body, caller: self.export_state(),
         }
+        self.body_budget = BodyBudget(int(s.memory_mb * 1024 * 1024 * BODY_MEMORY_FRACTION))
+        self.large_order = asyncio.Semaphore(1)  # one large configuration is decoded at a time
         self.stopping = False
         self.unknown_calls = 0  # calls that no handler answers, since the start
 
@@ -522,8 +527,17 @@
             self.broadcast_to_gateways(entry, now)
         return self.respond_when_replicated(entry)
 
-    async def handle_configuration(self, body: bytes) -> Response:
-        """Handle a full configuration or a patch."""
+    async def handle_configuration(self, body: bytes, caller: Caller) -> Response:
+        """Handle a full configuration or a patch; large ones one after the other."""
+        if len(body) < LARGE_ORDER_BYTES:
+            return await self.change_configuration(body)
+        async with self.large_order:
+            if caller.gone:  # it has sent the order again, and would have it decoded twice
+                return 503, {"errorText": "the caller has left"}
+            return await self.change_configuration(body)
+
+    async def change_configuration(self, body: bytes) -> Response:
+        """Check a full configuration or a patch, and submit it."""
         if self.stopping:
             return 503, {"errorText": "stops"}
         for _ in range(MAX_CHECK_ATTEMPTS):
@@ -660,7 +674,9 @@
         for name in ("controlPlane", "directoryService"):
             if name in s.listen_addresses:
                 await self.listen(
-                    lambda: HttpServerConnection(self.handle_request), s.listen_addresses[name], 512
+                    lambda: HttpServerConnection(self.handle_request, self.body_budget),
+                    s.listen_addresses[name],
+                    512,
                 )
         self.control_nodes_changed()
         now = self.clock.now()
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -480,7 +480,7 @@
     "orders": Guard(
         "ACKS",
         (trouble(1.0, "change", how="timeout"),),
-        lambda: [wrapped(controlplane.Node, "handle_configuration", accept_only_first)],
+        lambda: [wrapped(controlplane.Node, "change_configuration", accept_only_first)],
     ),
 }
 
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -9,6 +9,8 @@
 import httptools
 import msgspec
 
+from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
+
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_TARGET_BYTES = 32 * 1024
 IDLE_TIMEOUT_S = 20.0
@@ -39,22 +41,39 @@
 Handler = Callable[[str, str, bytes, Caller], "Response | Awaitable[Response]"]
 
 
+class NoRoomError(Exception):
+    """There is no memory for the body of a call at present."""
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A complete call, and the bytes that its body counts as."""
+
+    method: str
+    target: str
+    body: bytes
+    keep_alive: bool
+    counted_bytes: int
+
+
 class HttpServerConnection(asyncio.Protocol):
     """One client connection.
 
     ``handler`` gets method, target, body and caller, and returns status and JSON body.
     """
 
-    def __init__(self, handler: Handler) -> None:
-        self.handler = handler
+    def __init__(self, handler: Handler, budget: BodyBudget = UNLIMITED) -> None:
+        """``budget``: for large bodies; a call without room for its body is answered with 503."""
+        self.handler, self.budget = handler, budget
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.url = b""
         self.body_parts: list[bytes] = []
         self.body_size = 0
+        self.counted_bytes = 0  # of the body that is being received
         self.response_task: asyncio.Task[None] | None = None
-        self.queue: list[tuple[str, str, bytes, bool]] = []
+        self.queue: list[Call] = []
         self.malformed = False  # malformed input was received; nothing after it is read
+        self.without_room = False  # nothing more is read since there is no memory for the body
         self.idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -80,14 +99,29 @@
             return
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            self.refuse_rest(without_room=isinstance(error.__context__, NoRoomError))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.malformed = True
-            if self.response_task is None:
-                self.reject_malformed()
+            self.refuse_rest()
+
+    def refuse_rest(self, without_room: bool = False) -> None:
+        """Read no more, and refuse what has been received of the current call."""
+        self.malformed, self.without_room = True, without_room
+        self.release_body()
+        if self.response_task is None:
+            self.reject_rest()
+
+    def reject_rest(self) -> None:
+        """Answer 503 for lack of memory, or else 400, and close."""
+        if self.without_room:
+            self.respond(503, {"errorText": "too many large bodies at once"}, False)
+        else:
+            self.respond(400, {"errorText": "no HTTP request"}, False)
 
-    def reject_malformed(self) -> None:
-        """Answer 400 and close."""
-        self.respond(400, {"errorText": "no HTTP request"}, False)
+    def release_body(self) -> None:
+        """The body that was being received is dropped."""
+        self.budget.release(self.counted_bytes)
+        self.counted_bytes, self.body_parts = 0, []
 
     def on_message_begin(self) -> None:
         """Reset the state for a new call."""
@@ -105,51 +139,63 @@
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
-        """Append a part of the body, up to the size limit."""
+        """Append a part of the body, up to the size limit and as far as there is memory."""
         self.body_size += len(part)
         if self.body_size > MAX_BODY_BYTES:
             raise ValueError("body too large")
+        if self.body_size > MIN_COUNTED_BYTES:
+            size = self.body_size - self.counted_bytes
+            if not self.budget.reserve(size):
+                raise NoRoomError
+            self.counted_bytes += size
         self.body_parts.append(part)
 
     def on_message_complete(self) -> None:
         """Handle the call, or queue it behind the one in progress."""
-        method = self.parser.get_method().decode("latin-1")
-        call = method, self.url.decode("latin-1"), b"".join(self.body_parts), self.parser.should_keep_alive()
-        self.body_parts = []
+        call = Call(
+            self.parser.get_method().decode("latin-1"),
+            self.url.decode("latin-1"),
+            b"".join(self.body_parts),
+            self.parser.should_keep_alive(),
+            self.counted_bytes,
+        )
+        self.counted_bytes, self.body_parts = 0, []
         if self.response_task is not None:
             self.queue.append(call)
         else:
             self.handle_call(call)
 
-    def handle_call(self, call: tuple[str, str, bytes, bool]) -> None:
+    def handle_call(self, call: Call) -> None:
         """Run the handler for a call; an awaitable result is answered later."""
-        method, target, body, keep_alive = call
         try:
-            result = self.handler(method, target, body, self)
+            result = self.handler(call.method, call.target, call.body, self)
         except Exception as error:
+            self.budget.release(call.counted_bytes)
             self.respond(503, {"errorText": f"this call failed: {error!r}"}, False)
             raise
         if isinstance(result, tuple):
-            self.respond(*result, keep_alive)
+            self.budget.release(call.counted_bytes)
+            self.respond(*result, call.keep_alive)
         else:
-            self.response_task = asyncio.get_running_loop().create_task(
-                self.respond_later(result, keep_alive)
-            )
+            self.response_task = asyncio.get_running_loop().create_task(self.respond_later(result, call))
 
-    async def respond_later(self, result: Awaitable[Response], keep_alive: bool) -> None:
+    async def respond_later(self, result: Awaitable[Response], call: Call) -> None:
         """Answer once the result is available, then continue with the queue."""
+        keep_alive = call.keep_alive
         try:
             status, body = await result
         except Exception as error:
             status, body, keep_alive = 503, {"errorText": f"this call failed: {error!r}"}, False
+        finally:
+            self.budget.release(call.counted_bytes)
         self.response_task = None
         self.respond(status, body, keep_alive)
         while self.queue and keep_alive and self.response_task is None:
             call = self.queue.pop(0)
-            keep_alive = call[3]
+            keep_alive = call.keep_alive
             self.handle_call(call)
         if self.malformed and keep_alive and self.response_task is None:
-            self.reject_malformed()
+            self.reject_rest()
 
     def respond(self, status: int, body: Any, keep_alive: bool) -> None:
         """Write a response, then wait for the next call or close."""
@@ -179,6 +225,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the idle timer, and drop what has been received."""
         self.transport = None
-        self.body_parts = []
+        self.release_body()
+        for call in self.queue:
+            self.budget.release(call.counted_bytes)
+        self.queue.clear()
         if self.idle_timer is not None:
             self.idle_timer.cancel()
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -546,3 +546,28 @@
 
     harness.run(scenario())
     assert len(attempts) == 2
+
+
+def test_large_order_whose_caller_has_left_is_not_decoded(
+    harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Callers send a large configuration again after a while; each copy was decoded, one beside the other."""
+    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    callers = [SimpleNamespace(gone=False), SimpleNamespace(gone=True), SimpleNamespace(gone=False)]
+    body = json.dumps(sample_document()).encode()
+    running: list[int] = []
+
+    async def submit(command: dict[str, Any], limit: float) -> Verdict:
+        running.append(1)
+        assert len(running) == 1
+        await asyncio.sleep(0.1)
+        running.pop()
+        return Verdict(TAKEN)
+
+    monkeypatch.setattr(harness.replica, "submit", submit)
+
+    async def send_all() -> list[int]:
+        calls = [harness.node.handle_configuration(body, cast(Any, caller)) for caller in callers]
+        return [status for status, _ in await asyncio.gather(*calls)]
+
+    assert harness.run(send_all()) == [200, 503, 200]
--- a/tests/transport/test_transport.py
+++ b/tests/transport/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -10,6 +11,7 @@
 import pytest
 
 from latchspoke.lab.virtual import Network, VirtualLoop
+from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import MAX_UNREAD_BYTES, MessageConnection
 from latchspoke.transport.http_server import Caller, HttpServerConnection, Response
 from latchspoke.transport.netstring import FrameDecoder, FrameError, encode_frame
@@ -91,6 +93,63 @@
     assert first.startswith(b"200 ") and second.startswith(b"400 ") and b"Connection: close" in second
 
 
+class Sender(asyncio.Protocol):
+    """Sends a part of a call with a large body; ``answer`` is what comes back."""
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.transport: Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.answer += data
+
+
+def identity(sender: Sender) -> Sender:
+    return sender
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_large_bodies_at_once_are_bounded_and_their_room_is_given_back(framing: str) -> None:
+    """Fourteen callers with 30 MB each took a control machine to 440 MB, of which 296 were allowed."""
+    loop = VirtualLoop(Network(1))
+    size, budget = 200_000, BodyBudget(500_000)
+    if framing == "length":
+        start, end = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size, b""
+    else:
+        start, end = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % size, b"\r\n0\r\n\r\n"
+
+    async def later() -> Response:
+        await asyncio.sleep(0.1)
+        return 200, {}
+
+    async def scenario() -> None:
+        await loop.create_server(lambda: HttpServerConnection(lambda *_: later(), budget), "h", 1)
+        senders = [Sender() for _ in range(5)]
+        for sender in senders:
+            await loop.create_connection(functools.partial(identity, sender), "h", 1)
+            sender.transport.write(start + b"x" * (size - 1))
+        await asyncio.sleep(1.0)
+        assert budget.held_bytes <= budget.limit_bytes and budget.refused == 3
+        refused = [sender for sender in senders if sender.answer]
+        assert len(refused) == 3
+        assert all(b" 503 " in sender.answer and b"close" in sender.answer for sender in refused)
+        waiting = [sender for sender in senders if not sender.answer]
+        waiting[0].transport.abort()
+        waiting[1].transport.write(b"x" + end)
+        await asyncio.sleep(1.0)
+        assert b" 200 " in waiting[1].answer and budget.held_bytes == 0
+        waiting[1].transport.abort()
+        await asyncio.sleep(0.1)
+
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
 def test_one_frame_may_exceed_the_write_buffer_limit_but_not_two() -> None:
     """A large configuration ended its connection together with the heartbeat behind it, again and again."""
     buffered_bytes = [0]
