Close the longest idle callers before a process runs out of descriptors

Callers that connect to a control machine and ask nothing hold a descriptor each for 20 s; some 4,000 of them leave none, and then heartbeats are reset and no link to a peer comes up. Half of the descriptors are for callers' connections now (100 at a gateway's readiness address); above that, the one that has been idle longest is closed. The test opens nine connections at a limit of three: without it all nine stay open.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -44,6 +44,7 @@
 from latchspoke.registry.registry import Entry, HeartbeatError, State, parse_heartbeat
 from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import Message, MessageConnection
+from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
 from latchspoke.transport.log import log
 from latchspoke.transport.request_ids import first_request_id
@@ -62,6 +63,8 @@
 DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an evacuation call
 RESOLUTION_TTL_S = 1.0  # how long clients cache a gateway look-up
 BODY_MEMORY_FRACTION = 0.15  # of the memory limit, for the bodies of calls
+CALLER_DESCRIPTOR_FRACTION = 0.5  # for connections of servers, operators and clients; links need the rest
+MIN_CALLER_CONNECTIONS = 16
 LARGE_ORDER_BYTES = 256 * 1024  # a decoded configuration takes many times its size
 MAX_CHECK_ATTEMPTS = 3  # a patch is checked again when its base version has changed meanwhile
 RECEIPT: Message = {"k": "heard"}  # answers a message without a reply, to show that the path works
@@ -147,6 +150,9 @@
             "GET /register/copy": lambda call, body, caller: self.export_state(),
         }
         self.body_budget = BodyBudget(int(s.memory_mb * 1024 * 1024 * BODY_MEMORY_FRACTION))
+        self.connection_limit = ConnectionLimit(
+            max(int(s.file_descriptors * CALLER_DESCRIPTOR_FRACTION), MIN_CALLER_CONNECTIONS)
+        )
         self.large_order = asyncio.Semaphore(1)  # one large configuration is decoded at a time
         self.stopping = False
         self.unknown_calls = 0  # calls that no handler answers, since the start
@@ -674,7 +680,9 @@
         for name in ("controlPlane", "directoryService"):
             if name in s.listen_addresses:
                 await self.listen(
-                    lambda: HttpServerConnection(self.handle_request, self.body_budget),
+                    lambda: HttpServerConnection(
+                        self.handle_request, self.body_budget, self.connection_limit
+                    ),
                     s.listen_addresses[name],
                     512,
                 )
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -32,6 +32,7 @@
 from latchspoke.reach.recorder import AttemptRecorder
 from latchspoke.registry.registry import Entry, HeartbeatError
 from latchspoke.transport.connection import Message, MessageConnection
+from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
 from latchspoke.transport.log import log
 
@@ -39,6 +40,7 @@
     from latchspoke.dataplane.session_affinity import SessionAffinity
 
 SWEEP_INTERVAL_S = 0.5
+MAX_READINESS_CONNECTIONS = 100  # within the descriptors that are not counted
 LEASE_FRACTION = 0.9  # of ``revokeS``: validity of a proof
 MIN_FAILURE_DETECTION_S = 0.5  # shortest time from the last contact with a process to its detection as gone
 # After a start, quotas may already be used up by the previous instance of this process for this long.
@@ -517,7 +519,10 @@
         )
         await self.listen_internal(self.membership_transport)
         if readiness_address is not None:
-            await self.listen(lambda: HttpServerConnection(self.handle_request), readiness_address, 64)
+            limit = ConnectionLimit(MAX_READINESS_CONNECTIONS)
+            await self.listen(
+                lambda: HttpServerConnection(self.handle_request, limit=limit), readiness_address, 64
+            )
         self.front_listener = await self.bind(
             front_address,
             lambda: self.loop.create_server(
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
+from latchspoke.transport.connection_limit import ConnectionLimit
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_TARGET_BYTES = 32 * 1024
@@ -61,9 +62,11 @@
     ``handler`` gets method, target, body and caller, and returns status and JSON body.
     """
 
-    def __init__(self, handler: Handler, budget: BodyBudget = UNLIMITED) -> None:
+    def __init__(
+        self, handler: Handler, budget: BodyBudget = UNLIMITED, limit: ConnectionLimit | None = None
+    ) -> None:
         """``budget``: for large bodies; a call without room for its body is answered with 503."""
-        self.handler, self.budget = handler, budget
+        self.handler, self.budget, self.limit = handler, budget, limit
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.url = b""
@@ -80,6 +83,18 @@
         """Start the idle timer."""
         self.transport = cast(asyncio.Transport, transport)
         self.restart_idle_timer()
+        if self.limit is not None:
+            self.limit.add(self)
+
+    @property
+    def busy(self) -> bool:
+        """Whether a call is being received or handled."""
+        return self.response_task is not None or bool(self.url)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        if self.transport is not None:
+            self.transport.abort()
 
     @property
     def gone(self) -> bool:
@@ -159,7 +174,9 @@
             self.parser.should_keep_alive(),
             self.counted_bytes,
         )
-        self.counted_bytes, self.body_parts = 0, []
+        self.url, self.counted_bytes, self.body_parts = b"", 0, []
+        if self.limit is not None:
+            self.limit.used(self)
         if self.response_task is not None:
             self.queue.append(call)
         else:
@@ -225,6 +242,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the idle timer, and drop what has been received."""
         self.transport = None
+        if self.limit is not None:
+            self.limit.remove(self)
         self.release_body()
         for call in self.queue:
             self.budget.release(call.counted_bytes)
--- a/tests/transport/test_transport.py
+++ b/tests/transport/test_transport.py
@@ -13,6 +13,7 @@
 from latchspoke.lab.virtual import Network, VirtualLoop
 from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import MAX_UNREAD_BYTES, MessageConnection
+from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import Caller, HttpServerConnection, Response
 from latchspoke.transport.netstring import FrameDecoder, FrameError, encode_frame
 
@@ -150,6 +151,37 @@
         loop.close()
 
 
+def test_idle_callers_do_not_use_up_the_descriptors_of_a_process() -> None:
+    """Callers that asked nothing held all descriptors, so that heartbeats were reset and no link came up."""
+    loop = VirtualLoop(Network(1))
+    limit = ConnectionLimit(3)
+
+    async def later() -> Response:
+        await asyncio.sleep(5.0)
+        return 200, {}
+
+    async def scenario() -> None:
+        await loop.create_server(lambda: HttpServerConnection(lambda *_: later(), limit=limit), "h", 1)
+        senders = [Sender() for _ in range(9)]
+        for sender in senders:
+            await loop.create_connection(functools.partial(identity, sender), "h", 1)
+            if sender is senders[0] or sender is senders[8]:
+                sender.transport.write(b"GET / HTTP/1.1\r\n\r\n")
+            await asyncio.sleep(0.1)
+        assert len(limit.connections) == 3
+        await asyncio.sleep(6.0)
+        assert [b" 200 " in sender.answer for sender in senders] == [True] + [False] * 7 + [True]
+        for sender in senders:
+            sender.transport.abort()
+        await asyncio.sleep(0.1)
+        assert not limit.connections
+
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
 def test_one_frame_may_exceed_the_write_buffer_limit_but_not_two() -> None:
     """A large configuration ended its connection together with the heartbeat behind it, again and again."""
     buffered_bytes = [0]
