Show a process's age, limits, failures and lost log lines; list how processes fail

Nothing told a process that is ended again and again from one that stands still, or said that log lines were lost: metrics and the status view show age, limits in force, failed tasks and callbacks, lost lines, refused bodies; 'serves' names pid, limits and Python. docs/process-failures.md lists each known way to fail, what the process does, and its test.

--- a/latchspoke/controlplane/view.py
+++ b/latchspoke/controlplane/view.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from latchspoke.outliers.formatting import evidence_view
+from latchspoke.process_view import process_families, process_view
 from latchspoke.registry.registry import Entry, State
 from latchspoke.transport.metrics import MetricFamily, render
 
@@ -97,6 +98,9 @@
         "index": stored.index,
         "told_index": node.published_state.committed.index,
         "evacuated": sorted(stored.evacuated),
+        "process": process_view(node),
+        "callers": len(node.connection_limit.connections),
+        "bodies_refused": node.body_budget.refused,
         "rollouts": node.rollouts.view(),
         "register": node.replica.status(),
         "peers_connected": node.peers.connected_count,
@@ -169,6 +173,13 @@
             MetricFamily("latchspoke_members_gone", "Machines that the membership holds to be gone.").add(
                 len(view["gone"])
             ),
+            MetricFamily("latchspoke_caller_connections", "Open connections of callers.").add(
+                view["callers"]
+            ),
+            MetricFamily("latchspoke_bodies_refused_total", "Calls without room for their body.").add(
+                view["bodies_refused"]
+            ),
+            *process_families(view["process"]),
             member_family,
             server_family,
             rollout_family,
--- a/latchspoke/dataplane/view.py
+++ b/latchspoke/dataplane/view.py
@@ -14,6 +14,7 @@
 from barleyhub.line.balancer import Balancer, Upstream
 from barleyhub.line.dispatch import Dispatcher
 from latchspoke.outliers.formatting import evidence_view
+from latchspoke.process_view import process_families, process_view
 from latchspoke.reach.recorder import reason_codes
 from latchspoke.transport.metrics import MetricFamily, render
 
@@ -142,6 +143,7 @@
             "address": f"{source.address[0]}:{source.address[1]}",
             "gateway": source.gateway,
         },
+        "process": process_view(node),
         "gateways": list(node.balancer.gateways),
         "clients": len(node.downstream.clients),
         "in_hand": node.downstream.in_flight,
@@ -214,7 +216,10 @@
         MetricFamily("latchspoke_clients", "Open connections of clients.").add(view["clients"]),
         MetricFamily("latchspoke_requests_in_hand", "Requests not yet answered.").add(view["in_hand"]),
     ]
-    return render([*gauges, *bodies, servers, avoided, quota_room, quota_gate, retries_left, events])
+    process = process_families(view["process"])
+    return render(
+        [*gauges, *process, *bodies, servers, avoided, quota_room, quota_gate, retries_left, events]
+    )
 
 
 def handle_caller_request(
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -84,6 +84,8 @@
         self.listeners: list[asyncio.Server] = []
         self.stopped = asyncio.Event()
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.created_at = self.clock.now()
+        self.failures = 0  # tasks and callbacks that ended with an exception
         self.build()
 
     # Implemented by each kind of process.
@@ -165,7 +167,10 @@
         """The process serves; open the log a little later, when it delays nobody."""
         settings = self.settings
         self.clock.schedule(self.clock.now() + LOG_OPEN_DELAY_S, lambda now: open_log(node=settings.name))
-        log("serves", **fields, zone=settings.zone)
+        log(
+            "serves", **fields, zone=settings.zone, pid=os.getpid(), descriptors=settings.file_descriptors,
+            memory_mb=settings.memory_mb, python=sys.version.split()[0],
+        )  # fmt: skip
 
     def inbound_message(self, connection: MessageConnection, message: Message) -> None:
         """A message on an inbound connection; a malformed one ends the connection."""
@@ -188,7 +193,17 @@
         """Log the exception that a task has ended with, if any."""
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            log("task-failed", why=repr(error))
+            self.record_failure(error)
+
+    def record_failure(self, error: BaseException) -> None:
+        """A task has ended with an exception."""
+        self.failures += 1
+        log("task-failed", why=repr(error))
+
+    def callback_failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """A callback of the event loop has ended with an exception, or has been left unfinished."""
+        self.failures += 1
+        loop.default_exception_handler(context)
 
     async def run_until_done(self, task: Callable[[], Awaitable[None]]) -> None:
         """Run a task that lasts as long as the process; if it fails, it is run again."""
@@ -196,7 +211,7 @@
             try:
                 return await task()
             except Exception as error:
-                log("task-failed", why=repr(error))
+                self.record_failure(error)
             await asyncio.sleep(TASK_RETRY_S)
 
     def reload(self) -> None:
@@ -225,6 +240,7 @@
             set_signal_handler(loop, signal_number, self.stop_requested.set)
         try:
             node = self.node = await self.until_stop_requested(self.build(settings, initial_stamp))
+            loop.set_exception_handler(node.callback_failed)
             await self.until_stop_requested(node.start())
         except StoppedWhileStartingError:
             ignore_signals()
--- a/tests/dataplane/test_subscription.py
+++ b/tests/dataplane/test_subscription.py
@@ -148,6 +148,7 @@
     async def scenario() -> None:
         await gateway.listen(NEAR)
         node = NodeProcess.__new__(NodeProcess)
+        node.failures = 0
         gateway.subscription.sources = sources
         task = asyncio.ensure_future(node.run_until_done(gateway.subscription.run))
         await asyncio.sleep(3.0)
--- a/tests/lab/test_strange_machines.py
+++ b/tests/lab/test_strange_machines.py
@@ -96,7 +96,10 @@
             gateway = run.fleet.edges[0]
             await until_served(gateway)
             status, body = await call((gateway.ip, READINESS_PORT), "GET", "/status")
-            assert status == 200 and int(json.loads(body)["acts_by"], 16) == run.version
+            view = json.loads(body)
+            assert status == 200 and int(view["acts_by"], 16) == run.version
+            assert view["process"]["log_lines_lost"] or sink is LogSink.UNREAD_PIPE  # there, lines may wait
+            assert view["process"]["failures"] == 0
 
     asyncio.run(scenario())
 
