--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from latchspoke import node_process
+from latchspoke import process_run
 from latchspoke.agent.raft_store import RaftStoreError
 from latchspoke.configstore.config_state import UNCHECKED, Verdict
 from latchspoke.configstore.config_state import ConfigState as StoredState
@@ -732,4 +732,4 @@
 
 def main(path: str | None = None) -> int:
     """Returns the exit code: 0 orderly shutdown, 1 addresses in use, 2 invalid settings."""
-    return node_process.main("controlplane", Node, path)
+    return process_run.main("controlplane", Node, path)
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -9,7 +9,7 @@
 from barleyhub.line.balancer import Balancer, ColdLimit, Upstream, UpstreamState
 from barleyhub.line.dispatch import Dispatcher
 from barleyhub.line.outliers import OutlierDetector
-from latchspoke import node_process
+from latchspoke import process_run
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.configuration.routes import Table, compile_table
 from latchspoke.core import Attempt, DecisionLease
@@ -645,4 +645,4 @@
 
 def main(path: str | None = None) -> int:
     """Returns the exit code: 0 for an orderly shutdown, 2 for invalid settings."""
-    return node_process.main("dataplane", Node, path)
+    return process_run.main("dataplane", Node, path)
