Let a new owner of a quota learn the load from every gateway that knows it

Cause: a new owner took the tenant's load from whoever reported first. That was a gateway that had just restarted and knew of none, so that the owner told all gateways of no load, and each gate, room over load, stood open while 5 times the rate came in. It takes the highest load that any gateway knows, with each first report.

--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -312,6 +312,8 @@
             # Earlier counts were reported to the previous owner, or are included in "k".
             if report is None and "k" in counts and now - bucket.created_at < TOTALS_MAX_AGE_S:
                 bucket.remaining = min(bucket.remaining, known_remaining)
+                # The first report may be that of a gateway that has just restarted and knows of no load.
+                bucket.offered_per_s = max(bucket.offered_per_s, counts.get("ko", 0.0))
             elif "k" not in counts:
                 bucket.remaining -= counts["a"]
                 bucket.offered_per_s += counts["o"] / RATE_WINDOW_S
--- a/tests/line/test_power_loss.py
+++ b/tests/line/test_power_loss.py
@@ -8,7 +8,16 @@
 
 from latchspoke.dataplane.usage_reports import REPORT_INTERVAL_S
 from latchspoke.lab.virtual_run import EPOCH
-from tests.line.test_quota import CURRENT_GATEWAY, MAX_ADMITTED, RATE, Cluster, Gateway, Schedule
+from tests.line.test_quota import (
+    BURST,
+    CURRENT_GATEWAY,
+    MAX_ADMITTED,
+    RATE,
+    WINDOW_S,
+    Cluster,
+    Gateway,
+    Schedule,
+)
 
 OVERLOAD_START_S = 2.0  # before, 0.62 times the rate is offered
 
@@ -71,3 +80,23 @@
     assert cluster.max_admitted() <= MAX_ADMITTED
     served = sum(OVERLOAD_START_S <= at < 11.0 for at in cluster.admitted_at)
     assert served > 0.75 * 9 * RATE, "most of the quota is granted"
+
+
+class IneligibleCluster(PowerLossCluster):
+    """Restarted gateways own no quotas while others are established, so that a survivor takes over."""
+
+    def mark_just_started(self) -> None:
+        started = {name for name in self.lost if name in self.gateways}
+        for name, gateway in self.gateways.items():
+            gateway.counts.update_gateways(gateway.counts.gateways, name in started, started)
+
+
+@pytest.mark.parametrize("seed", [7, 16, 32])
+def test_new_owner_learns_the_load_from_survivors_not_from_restarted_gateways(seed: int) -> None:
+    """QUOTA: it took the first report's load, none, so that all gates opened at once: 469 in 5 s."""
+    cluster = IneligibleCluster(seed)
+    schedule: Schedule = {3.6: cluster.lose_power, 5.2: cluster.restore_power}
+    cluster.run(11.0, schedule, 5 * RATE)
+    assert cluster.max_admitted() <= RATE * WINDOW_S + BURST
+    served = sum(OVERLOAD_START_S <= at < 11.0 for at in cluster.admitted_at)
+    assert served > 0.75 * 9 * RATE, "most of the quota is granted"
