Let a new owner of a quota tell gateways that know nothing of the load it knows itself

Cause, the other half: to a report of a restarted gateway, which knows no totals, the new owner adds the room that it knows from its own account, but not the load. So the first totals after the return told of room and no load, and gates stood open until a survivor had reported. The new test fails before: the totals told of a load of 0.

--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -213,6 +213,13 @@
             counts |= {"k": round(self.remaining(now), 2), "ko": round(self.totals.offered, 2)}
         return counts
 
+    def known_totals(self, now: float) -> dict[str, float]:
+        """What a new owner begins with, as far as this gateway knows: for gateways that know nothing yet."""
+        if self.totals is None or not self.totals_fresh(now):
+            return {}
+        offered = self.totals.estimate_offered(self.offered_here(now))
+        return {"k": self.remaining(now), "ko": max(offered, self.totals.offered)}
+
     def update_totals(
         self,
         remaining: float,
--- a/latchspoke/dataplane/usage_reports.py
+++ b/latchspoke/dataplane/usage_reports.py
@@ -204,8 +204,8 @@
                     if value is not None
                 }
                 account = self.dispatcher.accounts.get(tenant)
-                if "k" not in counts and account is not None and account.totals_fresh(now):
-                    counts["k"] = account.remaining(now)
+                if "k" not in counts and account is not None:
+                    counts |= account.known_totals(now)
                 totals[tenant] = self.owned_quotas.apply_report(name, instance_id, tenant, counts, now)
         connection.send({"q": message["q"], "t": totals})
 
--- a/tests/line/test_power_loss.py
+++ b/tests/line/test_power_loss.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
-from latchspoke.dataplane.usage_reports import REPORT_INTERVAL_S
+from latchspoke.dataplane.usage_reports import REPORT_FIELDS, REPORT_INTERVAL_S
 from latchspoke.lab.virtual_run import EPOCH
 from tests.line.test_quota import (
     BURST,
@@ -100,3 +102,18 @@
     assert cluster.max_admitted() <= RATE * WINDOW_S + BURST
     served = sum(OVERLOAD_START_S <= at < 11.0 for at in cluster.admitted_at)
     assert served > 0.75 * 9 * RATE, "most of the quota is granted"
+
+
+def test_new_owner_tells_a_restarted_gateway_of_the_load_that_it_knows_itself() -> None:
+    """QUOTA: to the first gateway that came back, it told of no load."""
+    cluster = Cluster(1)
+    owner = cluster.gateways[cluster.gateways["g0"].counts.owner("t")]
+    now, replies = cluster.clock.now(), list[dict[str, Any]]()
+    account = owner.dispatcher.get_account(owner.tenant, now)
+    account.update_totals(3.0, 4 * RATE, RATE, (0.0, 0.0), now)
+    wire: Any = SimpleNamespace(tag=("g9", "12"), send=replies.append)
+    report = {"o": 1.0, "a": 0.0, "r": RATE, "b": BURST}
+    values = [report.get(field) for field in REPORT_FIELDS]
+    owner.counts.handle_message(wire, {"k": "c", "q": 1, "t": {"t": values}})
+    remaining, offered, _ = replies[0]["t"]["t"]
+    assert remaining <= 3.0 and offered >= 4 * RATE
