--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import sys
 import time
@@ -160,7 +159,7 @@
         settings = self.settings
         self.clock.schedule(self.clock.now() + LOG_OPEN_DELAY_S, lambda now: open_log(node=settings.name))
         log(
-            "serves", **fields, zone=settings.zone, pid=os.getpid(), descriptors=settings.file_descriptors,
+            "serves", **fields, zone=settings.zone, descriptors=settings.file_descriptors,
             memory_mb=settings.memory_mb, python=sys.version.split()[0],
         )  # fmt: skip
 
