Start without a thread being granted, and say in one line why a process ends

Cause: given a host, uvloop resolves it in a pool of four threads, even an address, and libuv aborts the process when a thread isn't granted; the log was written by a thread alone, so that nothing was said. Change: the event loop binds the sockets of listeners itself (also the gateway in service, which ended the same way); without a thread the program writes its log where that can't block. An address in use is waited for without an end, as a disk is.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -11,13 +11,14 @@
 import sys  # noqa: E402
 
 PROGRAMS = ("dataplane", "controlplane")
+MIN_PYTHON = (3, 11)
 
 
 def find_libraries(root: str) -> None:
     """Make the libraries importable, if they aren't on the path that was given."""
     try:
         import msgspec  # noqa: F401
-    except ModuleNotFoundError:
+    except ImportError:
         import site
 
         site.main()
@@ -28,11 +29,15 @@
     """Run the program that the command line names."""
     if len(sys.argv) != 2 or sys.argv[1] not in PROGRAMS:
         sys.exit(f"usage: start.py {'|'.join(PROGRAMS)}")
+    if sys.version_info < MIN_PYTHON:
+        sys.exit("can't start: Python 3.11 or later is needed, this is " + sys.version.split()[0])
     root = __file__.rpartition("/")[0].rpartition("/")[0] or "."
     sys.path[0] = root
-    find_libraries(root)
-    from latchspoke.program import run_program
-
+    try:
+        find_libraries(root)
+        from latchspoke.program import run_program
+    except Exception as error:  # a library or a compiled file that can't be used
+        sys.exit(f"can't start: {type(error).__name__}: {error}")
     run_program(sys.argv[1])
 
 
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -673,7 +673,7 @@
     # Lifecycle.
 
     async def start(self) -> None:
-        """Listen and start the periodic work. Raises AddressInUseError."""
+        """Listen and start the periodic work."""
         s = self.settings
         self.replica.start()  # before a request can arrive
         await self.listen_internal(self.membership_transport)
@@ -730,6 +730,6 @@
         self.stopped.set()
 
 
-def main(path: str | None = None) -> int:
-    """Returns the exit code: 0 orderly shutdown, 1 addresses in use, 2 invalid settings."""
-    return process_run.main("controlplane", Node, path)
+def main(path: str | None = None) -> None:
+    """Run this program until it has stopped in order. Raises SettingsError, NotStartableError."""
+    process_run.main(Node, path)
--- a/latchspoke/ctl/app.py
+++ b/latchspoke/ctl/app.py
@@ -83,17 +83,17 @@
 @app.command
 def dataplane(*, settings: SettingsFile = None) -> int:
     """Run a gateway until SIGTERM."""
-    from latchspoke.dataplane.node import main as start
+    from latchspoke.program import run_to_end
 
-    return start(str(settings) if settings else None)
+    return run_to_end("dataplane", str(settings) if settings else None)
 
 
 @app.command
 def controlplane(*, settings: SettingsFile = None) -> int:
     """Run a control-plane node until SIGTERM."""
-    from latchspoke.controlplane.node import main as start
+    from latchspoke.program import run_to_end
 
-    return start(str(settings) if settings else None)
+    return run_to_end("controlplane", str(settings) if settings else None)
 
 
 # Checks.
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -511,7 +511,7 @@
     # Lifecycle.
 
     async def start(self) -> None:
-        """Open the listeners and start the periodic work. Raises AddressInUseError."""
+        """Open the listeners and start the periodic work."""
         settings = self.settings
         front_address, readiness_address = (
             settings.listen_addresses["frontPlain"],
@@ -643,6 +643,6 @@
         self.stopped.set()
 
 
-def main(path: str | None = None) -> int:
-    """Returns the exit code: 0 for an orderly shutdown, 2 for invalid settings."""
-    return process_run.main("dataplane", Node, path)
+def main(path: str | None = None) -> None:
+    """Run this program until it has stopped in order. Raises SettingsError, NotStartableError."""
+    process_run.main(Node, path)
--- a/latchspoke/lab/soak/conditions.py
+++ b/latchspoke/lab/soak/conditions.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from latchspoke.lab.soak.deployments import Role
+from latchspoke.lab.soak.thread_filter import refuse_new_threads
 
 MIB = 1024 * 1024
 SMALL_PIPE_BYTES = 4096
@@ -38,6 +39,7 @@
     hard_descriptors: int | None = None
     address_space_mb: int | None = None
     folder_exists: bool = True  # the data directory, before a start
+    threads_granted: bool = True  # whether the process may make threads
 
     def apply_limits(self) -> None:
         """Set the limits of the calling process; called in a new one before it runs its program."""
@@ -47,6 +49,8 @@
         if self.address_space_mb is not None:
             limit = self.address_space_mb * MIB
             resource.setrlimit(resource.RLIMIT_AS, (limit, limit))
+        if not self.threads_granted:
+            refuse_new_threads()
         if self.sink is LogSink.CLOSED:
             for descriptor in range(3):
                 with contextlib.suppress(OSError):
@@ -64,6 +68,7 @@
         hard_descriptors=role.descriptors,
         address_space_mb=rng.choice((None, role.memory_mb)),
         folder_exists=rng.random() < 0.5,
+        threads_granted=rng.random() < 0.5,
     )
 
 
--- a/latchspoke/net/serve.py
+++ b/latchspoke/net/serve.py
@@ -13,12 +13,11 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import uvloop
-
 from barleyhub import interface as api
 from barleyhub.choice import Gateway
 from latchspoke.config import Address, Config, ConfigError, RulesConfig, TargetList
 from latchspoke.core import Attempt, Core
+from latchspoke.net import event_loop
 from latchspoke.net.clock import Clock, Timer
 from latchspoke.net.counter import Counter
 from latchspoke.net.discovery import Watch
@@ -378,4 +377,4 @@
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s.%(msecs)03d %(name)s %(message)s",
         datefmt="%Y-%m-%dT%H:%M:%S",
     )  # fmt: skip
-    uvloop.run(run(config, load_config, admin))
+    event_loop.run(run(config, load_config, admin))
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -25,12 +25,11 @@
 from latchspoke.settings import Settings
 from latchspoke.settings.watcher import SettingsWatcher
 from latchspoke.transport.connection import Message, MessageConnection
-from latchspoke.transport.log import log, open_log
+from latchspoke.transport.log import log, log_now, open_log
 
 # Within the internal port range.
 GATEWAY_PORT_OFFSET, CONTROL_PORT_OFFSET = 0, 1
 LOG_OPEN_DELAY_S = 1.0  # after the start
-BIND_TIMEOUT_S = 30.0  # that a start waits for its addresses, such as those of a process that still drains
 START_RETRY_S = 0.1
 TASK_RETRY_S = 0.5  # until a task that has failed is started again
 RETRY_LOG_INTERVAL_S = 5.0
@@ -40,10 +39,6 @@
     """A process can't start at present; the message is one line."""
 
 
-class AddressInUseError(NotStartableError):
-    """An address of the settings file can't be bound."""
-
-
 class NodeProcess:
     """One process: its settings, its membership, and the subscribers to its published state."""
 
@@ -102,7 +97,7 @@
         raise NotImplementedError
 
     async def start(self) -> None:
-        """Listen and start the periodic work. Raises AddressInUseError."""
+        """Listen and start the periodic work."""
         raise NotImplementedError
 
     # Common to all processes.
@@ -122,7 +117,7 @@
         return [(host, self.settings.port_range[0] + CONTROL_PORT_OFFSET) for host, _ in self.settings.seeds]
 
     async def listen_internal(self, transport: MembershipTransport) -> None:
-        """Listen on the internal port, for the membership and for connections. Raises AddressInUseError."""
+        """Listen on the internal port, for the membership and for connections."""
         await self.bind(self.internal_address, lambda: transport.start(*self.internal_address))
         await self.listen(
             lambda: MessageConnection(self.inbound_message, self.inbound_closed), self.internal_address, 256
@@ -131,7 +126,7 @@
     async def listen(
         self, protocol: Callable[[], asyncio.Protocol], address: tuple[str, int], backlog: int
     ) -> asyncio.Server:
-        """Listen on an address until the end of the process. Raises AddressInUseError."""
+        """Listen on an address until the end of the process."""
         server: asyncio.Server = await self.bind(
             address, lambda: self.loop.create_server(protocol, *address, backlog=backlog)
         )
@@ -139,18 +134,15 @@
         return server
 
     async def bind(self, address: tuple[str, int], bind: Callable[[], Awaitable[Any]]) -> Any:
-        """Call ``bind`` until the address is free. Raises AddressInUseError."""
-        started_at = time.monotonic()
+        """Call ``bind`` until the address is free, such as that of a process that still drains."""
         logged_at = -RETRY_LOG_INTERVAL_S
         while True:
             try:
                 return await bind()
             except OSError as error:
-                now, reason = time.monotonic(), f"{address[0]}:{address[1]}: {error}"
-                if now - started_at >= BIND_TIMEOUT_S:
-                    raise AddressInUseError(reason) from None
+                now = time.monotonic()
                 if now - logged_at >= RETRY_LOG_INTERVAL_S:
-                    log("waits-for-address", why=reason)
+                    log_now("waits-for-address", why=f"{address[0]}:{address[1]}: {error}")
                     logged_at = now
             await asyncio.sleep(START_RETRY_S)
 
--- a/latchspoke/process_run.py
+++ b/latchspoke/process_run.py
@@ -10,7 +10,6 @@
 import gc
 import os
 import signal
-import sys
 import time
 from typing import Any
 
@@ -20,13 +19,13 @@
 from latchspoke.node_process import (
     RETRY_LOG_INTERVAL_S,
     START_RETRY_S,
-    AddressInUseError,
     NodeProcess,
     NotStartableError,
 )
 from latchspoke.process_limits import raise_descriptor_limit
 from latchspoke.settings import SETTINGS_FILE_VARIABLE, Settings, SettingsError, load_settings
 from latchspoke.settings.watcher import FileStamp, file_stamp
+from latchspoke.transport.log import log_now
 
 FLUSH_DELAY_S = 0.02  # before exit, for the last bytes written
 SETTINGS_TIMEOUT_S = 2.0  # that a start waits for a settings file that is being written
@@ -41,7 +40,7 @@
         self.node: NodeProcess | None = None
 
     async def run(self, settings: Settings, initial_stamp: FileStamp | None) -> None:
-        """``initial_stamp``: of the settings file before it was read. Raises AddressInUseError."""
+        """``initial_stamp``: of the settings file before it was read."""
         loop = asyncio.get_running_loop()
         set_signal_handler(loop, signal.SIGHUP, self.reload)
         for signal_number in TERMINATION_SIGNALS:
@@ -77,7 +76,7 @@
             except NotStartableError as error:
                 if time.monotonic() - logged_at >= RETRY_LOG_INTERVAL_S:
                     logged_at = time.monotonic()
-                    print(f"waits: {error}", file=sys.stderr)
+                    log_now("waits-to-start", why=str(error))
             else:
                 node.settings_watch.loaded_stamp = stamp
                 return node
@@ -137,23 +136,14 @@
         time.sleep(START_RETRY_S)
 
 
-def main(name: str, node_class: type[NodeProcess], path: str | None = None) -> int:
-    """Run a process. Exit codes: 0 orderly shutdown, 1 its addresses are in use, 2 invalid settings."""
-    import uvloop
+def main(node_class: type[NodeProcess], path: str | None = None) -> None:
+    """Run a process until it has stopped in order. Raises SettingsError, NotStartableError."""
+    from latchspoke.net import event_loop
 
     path = path or os.environ.get(SETTINGS_FILE_VARIABLE, "/etc/latchspoke/local.yaml")
-    try:
-        settings, initial_stamp = load_initial_settings(path)
-    except SettingsError as error:
-        print(f"{name}: {error}", file=sys.stderr)
-        return 2
+    settings, initial_stamp = load_initial_settings(path)
 
     async def run() -> None:
         await ProcessRun(node_class, path).run(settings, initial_stamp)
 
-    try:
-        uvloop.run(run())
-    except AddressInUseError as error:
-        print(f"{name}: {error}", file=sys.stderr)
-        return 1
-    return 0
+    event_loop.run(run())
--- a/latchspoke/settings/node.py
+++ b/latchspoke/settings/node.py
@@ -47,6 +47,8 @@
 class SettingsError(Exception):
     """The settings can't be used; the message is one line that names the file and the field."""
 
+    exit_code = 2  # of a program that can't use its settings
+
 
 class FaultTolerance(msgspec.Struct, frozen=True):
     """How many machines (those with ``loss_counted``), zones or regions may be lost at once."""
--- a/latchspoke/transport/log.py
+++ b/latchspoke/transport/log.py
@@ -18,9 +18,10 @@
     "settings-refused": "warning", "configuration-refused": "warning", "feed-gap": "warning",
     "feed-ended": "warning", "not-ready": "warning", "lost-majority": "warning", "old-disk": "warning",
     "unknown-call": "warning", "waits-for-address": "warning", "task-failed": "error",
-    "link-failed": "error", "store-set-aside": "error",
+    "link-failed": "error", "store-set-aside": "error", "waits-to-start": "warning", "failed": "error",
 }  # fmt: skip
-BUFFERED_EVENTS: deque[tuple[float, str, dict[str, Any]]] = deque(maxlen=200)
+MAX_BUFFERED_EVENTS = 200
+BUFFERED_EVENTS: deque[tuple[float, str, dict[str, Any]]] = deque(maxlen=MAX_BUFFERED_EVENTS)
 LOGGER: list[Any] = []
 
 
@@ -33,6 +34,12 @@
         BUFFERED_EVENTS.append((time.time(), event, fields))
 
 
+def log_now(event: str, **fields: Any) -> None:
+    """As ``log``, but written at once, as by a process that may wait for long before it serves."""
+    log(event, **fields)
+    flush_log()
+
+
 def import_structlog() -> ModuleType:
     """Import ``structlog`` without the packages with which it colours tracebacks.
 
@@ -71,3 +78,32 @@
     while BUFFERED_EVENTS:
         logged_at, event, fields = BUFFERED_EVENTS.popleft()
         LOGGER[0].info(event, waited=round(now - logged_at, 3), **fields)
+
+
+def flush_log() -> None:
+    """Write the events buffered so far, as a process ends before its log was opened.
+
+    Importing ``structlog`` may be what fails there, so that the lines are formatted here.
+    """
+    while BUFFERED_EVENTS:
+        logged_at, event, fields = BUFFERED_EVENTS.popleft()
+        sys.stderr.write(format_event(logged_at, event, fields) + "\n")
+
+
+def format_event(logged_at: float, event: str, fields: dict[str, Any]) -> str:
+    """One event as ``open_log`` writes it."""
+    whole, fraction = divmod(logged_at, 1)
+    timestamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(whole)) + f"{fraction:.6f}"[1:]
+    rest = {name: value for name, value in sorted(fields.items()) if name != "level"}
+    pairs = {"timestamp": timestamp, "level": fields.get("level", "info"), "event": event} | rest
+    return " ".join(f"{name}={quote(value)}" for name, value in pairs.items())
+
+
+def quote(value: Any) -> str:
+    """A value in logfmt: quoted if it holds a space or an equals sign."""
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return str(value).lower()
+    text = str(value).replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{text}"' if " " in text or "=" in text else text
--- a/latchspoke/transport/output.py
+++ b/latchspoke/transport/output.py
@@ -2,7 +2,7 @@
 
 A write to a pipe that nobody reads blocks, and one to a closed pipe or a full disk raises an exception, in
 the middle of whatever logs at that moment. Here a thread writes, and lines that can't be written are dropped
-and counted.
+and counted. Where the machine grants no thread, the program itself writes what doesn't block.
 """
 
 from __future__ import annotations
@@ -14,10 +14,12 @@
 import select
 import sys
 import threading
-import traceback
+import time
+from collections import deque
 from collections.abc import Iterator
 
 MAX_PENDING_BYTES = 256 * 1024  # written by the program, but not yet by the thread; more is dropped
+MAX_ATOMIC_BYTES = 4096  # that a pipe takes without blocking, once it is ready to be written to
 CLOSE_TIMEOUT_S = 0.5  # that the end of a process waits for its last lines
 STANDARD_DESCRIPTORS = (0, 1, 2)
 
@@ -29,6 +31,7 @@
         self.descriptor = descriptor
         self.chunks: queue.SimpleQueue[bytes | None] = queue.SimpleQueue()
         self.thread: threading.Thread | None = None
+        self.unwritten: deque[bytes] = deque()  # without a thread
         self.queued_bytes = 0  # changed by the program only, and ``written_bytes`` by the thread only
         self.written_bytes = 0
         self.dropped_lines = 0  # for which there was no room
@@ -49,11 +52,15 @@
         data = text.encode("utf-8", "backslashreplace")
         if not data:
             return 0
-        if self.queued_bytes - self.written_bytes + len(data) > MAX_PENDING_BYTES or not self.start_thread():
+        if self.queued_bytes - self.written_bytes + len(data) > MAX_PENDING_BYTES:
             self.dropped_lines += text.count("\n")
-        else:
-            self.queued_bytes += len(data)
+            return len(text)
+        self.queued_bytes += len(data)
+        if self.start_thread():
             self.chunks.put(data)
+        else:
+            self.unwritten.append(data)
+            self.write_ready()
         return len(text)
 
     def start_thread(self) -> bool:
@@ -68,7 +75,7 @@
         return True
 
     def run(self) -> None:
-        """Write what is queued, until ``close``."""
+        """Write what is queued, until ``finish``."""
         while (data := self.chunks.get()) is not None:
             try:
                 self.write_all(self.loss_report() + data)
@@ -76,6 +83,25 @@
                 self.failed_lines += data.count(b"\n")
             self.written_bytes += len(data)
 
+    def write_ready(self) -> None:
+        """Write what is queued, as far as the descriptor takes it without blocking."""
+        while self.unwritten:
+            data = self.unwritten[0]
+            try:
+                if not select.select([], [self.descriptor], [], 0)[1]:
+                    return
+                written = os.write(self.descriptor, data[:MAX_ATOMIC_BYTES])
+            except BlockingIOError:
+                return
+            except OSError:
+                self.failed_lines += data.count(b"\n")
+                written = len(data)
+            self.written_bytes += written
+            if written < len(data):
+                self.unwritten[0] = data[written:]
+            else:
+                self.unwritten.popleft()
+
     def loss_report(self) -> bytes:
         """A line that tells of lost lines, or nothing if none were lost since the last one."""
         lost = self.lost_lines - self.reported_lines
@@ -97,6 +123,12 @@
         if self.thread is not None:
             self.chunks.put(None)
             self.thread.join(CLOSE_TIMEOUT_S)
+            return
+        until = time.monotonic() + CLOSE_TIMEOUT_S
+        self.write_ready()
+        while self.unwritten and (left := until - time.monotonic()) > 0:
+            select.select([], [self.descriptor], [], left)
+            self.write_ready()
 
 
 def lost_lines() -> int:
@@ -119,15 +151,11 @@
 
 @contextlib.contextmanager
 def background_output() -> Iterator[None]:
-    """Replace the standard streams until the process ends; an exception is printed and ends it with 1."""
-    open_missing_descriptors()
+    """Replace the standard streams until the process ends."""
     output, error = BackgroundOutput(1), BackgroundOutput(2)
     sys.stdout, sys.stderr = output, error
     try:
         yield
-    except Exception:
-        traceback.print_exc()
-        sys.exit(1)
     finally:
         output.finish()
         error.finish()
--- a/tests/lab/test_strange_machines.py
+++ b/tests/lab/test_strange_machines.py
@@ -6,8 +6,11 @@
 import contextlib
 import json
 import math
+import os
 import shutil
 import signal
+import subprocess
+import sys
 import time
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
@@ -15,7 +18,7 @@
 import pytest
 
 from latchspoke.lab.soak.conditions import Conditions, LogSink
-from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, Machine, claim_net
+from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, ROOT, Machine, claim_net
 from latchspoke.lab.soak.parties import KEYS, call
 from latchspoke.lab.soak.record import Record
 from latchspoke.lab.soak.run import Plan, Run, play
@@ -24,6 +27,16 @@
 UP_TIMEOUT_S = 20.0
 
 
+def run_start(
+    program: str, *options: str, root: Path = ROOT, **variables: str
+) -> subprocess.CompletedProcess[str]:
+    """Start a program by the deploy file's script, and wait for its end."""
+    return subprocess.run(
+        [sys.executable, *options, "-S", "deploy/start.py", program],
+        cwd=root, env=os.environ | variables, capture_output=True, text=True, timeout=UP_TIMEOUT_S,
+    )  # fmt: skip
+
+
 @pytest.fixture
 def net() -> Iterator[int]:
     number, claim = claim_net()
@@ -104,6 +117,64 @@
     asyncio.run(scenario())
 
 
+def test_process_that_is_granted_no_thread_serves_and_writes_its_log(net: int, tmp_path: Path) -> None:
+    """Each ended with -6 (SIGABRT), and wrote nothing."""
+
+    async def scenario() -> None:
+        async with system(tmp_path, net, Conditions(threads_granted=False)) as run:
+            await until_served(run.fleet.edges[0])
+            for machine in [*run.fleet.core, *run.fleet.edges]:
+                assert machine.process is not None
+                assert len(list(Path(f"/proc/{machine.process.pid}/task").iterdir())) == 1
+            await asyncio.sleep(1.5)  # until the log is opened
+        for machine in [*run.fleet.core, *run.fleet.edges]:
+            log = (tmp_path / f"{machine.name}.log").read_text()
+            assert "event=serves" in log and log.splitlines()[-1].count("event=ended") == 1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("settings", ["limits: {", "nodeName: 7"])
+def test_process_that_ends_says_why_in_one_line(settings: str, tmp_path: Path) -> None:
+    """An exception was a page of traceback; events of the first second of a process were lost."""
+    path = tmp_path / "local.yaml"
+    path.write_text(settings)
+    done = run_start("dataplane", LATCHSPOKE_NODE_FILE=str(path))
+    assert done.returncode == 2
+    (line,) = done.stderr.splitlines()
+    assert "level=error event=failed" in line and str(path) in line
+
+
+@pytest.mark.parametrize("module", ["httptools", "msgspec"])
+def test_process_whose_libraries_are_missing_says_so_in_one_line(module: str, tmp_path: Path) -> None:
+    """It ended with a traceback."""
+    for folder in ("latchspoke", "barleyhub", "deploy"):
+        shutil.copytree(ROOT / folder, tmp_path / folder)
+    (tmp_path / f"{module}.py").write_text(f"raise ModuleNotFoundError('No module named {module}')")
+    done = run_start("dataplane", root=tmp_path)
+    assert done.returncode == 1
+    (line,) = done.stderr.splitlines()
+    assert f"No module named {module}" in line
+
+
+def test_process_stopped_before_its_log_is_open_still_says_that_it_ended(net: int, tmp_path: Path) -> None:
+    """Events are written from a second after the start on; those before were lost with the process."""
+
+    async def scenario() -> None:
+        run = Run(Plan(1, gateways=1, control=1), tmp_path, net)
+        gateway = run.fleet.edges[0]
+        await run.fleet.start(gateway, True)
+        async with asyncio.timeout(UP_TIMEOUT_S):
+            while (await call((gateway.ip, READINESS_PORT), "GET", "/readiness"))[0] != 503:
+                await asyncio.sleep(0.01)
+        await run.fleet.stop_all()
+        assert run.record.faults == []
+        log = (tmp_path / f"{gateway.name}.log").read_text()
+        assert "event=serves" in log and "event=ended" in log.splitlines()[-1]
+
+    asyncio.run(scenario())
+
+
 def test_data_directory_that_is_missing_is_created(net: int, tmp_path: Path) -> None:
     """All control machines ended with 1, so that no configuration was taken."""
 
