Bound the memory of what callers and peers leave with a process

What callers saw: within seconds a gateway had 637 MB of 300 by clients that send many headers and stop, a control machine 3,826 MB of 296 by orders one behind the other, 861 MB by answers that nobody reads; 534 MB by messages that begin; headers and trailers without an end. A platform ends such a process again and again. Cause: only large bodies were counted; whatever else came was kept as long as it came. Change: nothing more is read from a caller while its calls wait or while it doesn't read its answers. Heads of many fields, large answers and unfinished messages are counted against parts of the memory limit, and refused without room. A head, trailer or chunk header has a limit (also at the gateway in service). New servers are refused once their number takes 10% of the memory; their texts have a limit. The new tests failed before, the five kinds of callers against real processes among them.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -42,7 +42,6 @@
 from latchspoke.node_process import CONTROL_PORT_OFFSET, NodeProcess, NotStartableError
 from latchspoke.outliers.evidence import EvidenceStore
 from latchspoke.registry.registry import Entry, HeartbeatError, State, parse_heartbeat
-from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import Message, MessageConnection
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
@@ -62,7 +61,6 @@
 UNCLEAR_WAIT_S = 0.5
 DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an evacuation call
 RESOLUTION_TTL_S = 1.0  # how long clients cache a gateway look-up
-BODY_MEMORY_FRACTION = 0.15  # of the memory limit, for the bodies of calls
 CALLER_DESCRIPTOR_FRACTION = 0.5  # for connections of servers, operators and clients; links need the rest
 MIN_CALLER_CONNECTIONS = 16
 LARGE_ORDER_BYTES = 256 * 1024  # a decoded configuration takes many times its size
@@ -149,7 +147,6 @@
             "GET /history": lambda call, body, caller: self.show_view("history"),
             "GET /register/copy": lambda call, body, caller: self.export_state(),
         }
-        self.body_budget = BodyBudget(int(s.memory_mb * 1024 * 1024 * BODY_MEMORY_FRACTION))
         self.connection_limit = ConnectionLimit(
             max(int(s.file_descriptors * CALLER_DESCRIPTOR_FRACTION), MIN_CALLER_CONNECTIONS)
         )
@@ -480,6 +477,8 @@
             new = parse_heartbeat(instance_id, msgspec.json.decode(body), now)
         except (HeartbeatError, msgspec.DecodeError) as error:
             return 400, {"errorText": str(error)}
+        if not self.registry.accepts(instance_id):
+            return 503, {"errorText": f"{self.registry.max_instances} servers are known: no room for more"}
         previous = self.registry.entries.get(instance_id)
         cold_until = previous.cold_until if previous is not None else math.inf
         entry, changed = self.registry.update(new, now)
@@ -681,7 +680,7 @@
             if name in s.listen_addresses:
                 await self.listen(
                     lambda: HttpServerConnection(
-                        self.handle_request, self.body_budget, self.connection_limit
+                        self.handle_request, self.call_budget, self.connection_limit
                     ),
                     s.listen_addresses[name],
                     512,
--- a/latchspoke/controlplane/view.py
+++ b/latchspoke/controlplane/view.py
@@ -100,7 +100,7 @@
         "evacuated": sorted(stored.evacuated),
         "process": process_view(node),
         "callers": len(node.connection_limit.connections),
-        "bodies_refused": node.body_budget.refused,
+        "bodies_refused": node.call_budget.refused,
         "rollouts": node.rollouts.view(),
         "register": node.replica.status(),
         "peers_connected": node.peers.connected_count,
--- a/latchspoke/dataplane/body_memory.py
+++ b/latchspoke/dataplane/body_memory.py
@@ -103,27 +103,32 @@
             self.memory.waiting[self] = size
             self.waits_for_memory = True
             self.context.stats["bodies.waited"] += 1
-            self.set_reading(False)
+            self.update_reading()
 
     def memory_granted(self, body: LargeBody) -> None:
         """Go on with a body that has waited."""
         self.waits_for_memory = False
         body += self.take_body()
         self.large_body = body
-        self.set_reading(True)
+        self.update_reading()
 
     def stop_waiting(self) -> None:
         """Read on without memory for the current body."""
         del self.memory.waiting[self]
         self.waits_for_memory = False
-        self.set_reading(True)
+        self.update_reading()
 
-    def set_reading(self, reading: bool) -> None:
+    @property
+    def may_read(self) -> bool:
+        """Whether more input may be read now."""
+        return not self.waits_for_memory
+
+    def update_reading(self) -> None:
         """Resume or pause reading, unless the connection is closing."""
         transport = cast(asyncio.Transport, self.transport)
         if transport is None or self.lost or transport.is_closing():
             return
-        if reading:
+        if self.may_read:
             transport.resume_reading()
         else:
             transport.pause_reading()
@@ -167,4 +172,5 @@
         """As ``Connection.connection_lost``; also drops what was received of a large body."""
         self.memory.waiting.pop(self, None)
         self.waits_for_memory, self.large_body = False, None
+        self.parser = None  # it refers to this object, which would live on until the next collection
         super().connection_lost(exc)
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -57,6 +57,9 @@
     (b"host", b"x-attempt-id", b"x-deadline-remaining", b"authorization", b"content-length")
 )
 AUTH_SCHEME = b"token "
+HEADER_BYTES = 384  # that one short header takes in memory
+MIN_COUNTED_HEAD_BYTES = 8 * 1024  # a head that takes less is not counted
+HEAD_LIMIT_MARGIN_BYTES = 4096  # above ``maxHeaderBytes``, for the request line and framing
 
 
 def read_key(headers: Mapping[bytes, bytes]) -> str:
@@ -82,6 +85,8 @@
         self.keep_alive = True
         self.waiting_since = self.opened_at  # when the current wait (idle, or for more input) began
         self.unsent_bytes, self.unsent_since = 0, 0.0  # of a large response, and when this last changed
+        self.output_blocked = False  # the client doesn't read: nothing more is read from it meanwhile
+        self.head_memory: LargeBody | None = None  # counts a head of many fields
         self.url = b""
         self.header_pairs: list[tuple[bytes, bytes]] = []
         self.parser = httptools.HttpRequestParser(self)
@@ -101,11 +106,9 @@
         if self.ending or self.fault is not None:
             return
         try:
-            self.parser.feed_data(data)
+            self.parse(data, self.downstream.limits.header_bytes + HEAD_LIMIT_MARGIN_BYTES)
             if self.message_started and not self.headers_complete:
-                self.received_bytes += len(data)
-                if self.received_bytes > self.downstream.limits.header_bytes + 4096:
-                    raise FramingError(431, "oversize")
+                self.count_head()
         except httptools.HttpParserUpgrade:
             # The request may be complete and in flight; its response is then the last one here.
             self.reject(FramingError(0 if self.busy else 400, "upgrade"))
@@ -114,7 +117,7 @@
 
     def reject(self, fault: FramingError) -> None:
         """Answer malformed input with an error and close, after the request that is in flight."""
-        self.fault = fault
+        self.fault = fault.without_traceback()
         if not self.busy:
             self.write_fault_response()
 
@@ -123,6 +126,7 @@
         if self.fault is None or self.transport is None or self.lost:
             return
         fault, self.ending = self.fault, True
+        self.headers, self.header_pairs, self.head_memory = {}, [], None
         self.close_code = self.close_code or "bad_request"
         self.context.stats[f"clients.{fault.status}"] += 1
         if fault.status:
@@ -142,7 +146,7 @@
             raise FramingError(0, "pipelined")
         super().on_message_begin()
         self.url = b""
-        self.header_pairs = []
+        self.header_pairs, self.head_memory = [], None
         self.waiting_since = self.context.clock.now()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -159,9 +163,19 @@
         """Append a part of the request target."""
         self.url += url
 
+    def count_head(self) -> None:
+        """Count a head of many fields against the memory for bodies. Raises FramingError without room."""
+        size = len(self.header_pairs) * HEADER_BYTES
+        if size < MIN_COUNTED_HEAD_BYTES:
+            return
+        if self.head_memory is None:
+            self.head_memory = self.memory.count(0)
+        self.grow(self.head_memory, size - self.head_memory.counted_bytes)
+
     def on_headers_complete(self) -> None:
         """Check the announced body size and answer ``Expect: 100-continue``."""
         super().on_headers_complete()
+        self.count_head()
         self.waiting_since = self.context.clock.now()
         length = self.headers.get(b"content-length", b"0")
         size = int(length) if length.isdigit() else 0
@@ -195,6 +209,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit."""
+        self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
@@ -203,7 +218,7 @@
 
     def on_message_complete(self) -> None:
         """Start processing the request."""
-        self.message_started = False
+        self.message_started, self.unparsed_bytes = False, 0
         self.message_count += 1
         self.keep_alive = self.parser.should_keep_alive()
         refused = self.waits_for_memory
@@ -214,6 +229,7 @@
             self.take_counted_body(), self.context.clock.now(),
         )  # fmt: skip
         # The exchange alone holds the request, which ends with it; the connection may rest for long.
+        exchange.head_memory, self.head_memory = self.head_memory, None
         self.url, self.headers, self.header_pairs = b"", {}, []
         if refused:
             self.downstream.reject_request(exchange, 503, NO_MEMORY, retry_after=NO_MEMORY_RETRY_AFTER_S)
@@ -243,8 +259,25 @@
             self.after_response()
         return True
 
+    @property
+    def may_read(self) -> bool:
+        """Whether more input may be read now."""
+        return not self.waits_for_memory and not self.output_blocked
+
+    def pause_writing(self) -> None:
+        """The client doesn't read its responses; further requests are not read until it does."""
+        self.output_blocked = True
+        self.unsent_bytes = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        self.unsent_since = self.context.clock.now()
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        """The client has read most of its responses."""
+        self.output_blocked = False
+        self.update_reading()
+
     def end_if_stuck(self, now: float) -> None:
-        """Close the connection if nothing of a large response has been sent for the idle timeout."""
+        """Close the connection if nothing of its responses has been sent for the idle timeout."""
         if not self.unsent_bytes or self.transport is None:
             return
         unsent_bytes = self.transport.get_write_buffer_size()
@@ -269,6 +302,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is in flight."""
         super().connection_lost(exc)
+        self.head_memory = None
         self.downstream.clients.pop(self, None)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
--- a/latchspoke/dataplane/exchange.py
+++ b/latchspoke/dataplane/exchange.py
@@ -41,8 +41,8 @@
     """A fully received request; the client of its flow (``latchspoke.dataplane.core.DataPlaneClient``)."""
 
     __slots__ = (
-        "attempt_id", "body", "connection", "flow", "header_pairs", "headers", "method", "received_at",
-        "stats", "url",
+        "attempt_id", "body", "connection", "flow", "head_memory", "header_pairs", "headers", "method",
+        "received_at", "stats", "url",
     )  # fmt: skip
 
     def __init__(
@@ -71,6 +71,7 @@
         self.received_at = received_at
         self.attempt_id = headers.get(b"x-attempt-id", b"")
         self.flow: Flow | None = None
+        self.head_memory: LargeBody | None = None  # counts a head of many fields while this exchange lasts
 
     def take_body(self) -> Body:
         """Return the body, which the exchange no longer holds afterwards."""
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -40,6 +40,7 @@
     from latchspoke.dataplane.session_affinity import SessionAffinity
 
 SWEEP_INTERVAL_S = 0.5
+READINESS_BACKLOG = 64  # connections that wait to be accepted
 MAX_READINESS_CONNECTIONS = 100  # within the descriptors that are not counted
 LEASE_FRACTION = 0.9  # of ``revokeS``: validity of a proof
 MIN_FAILURE_DETECTION_S = 0.5  # shortest time from the last contact with a process to its detection as gone
@@ -521,7 +522,9 @@
         if readiness_address is not None:
             limit = ConnectionLimit(MAX_READINESS_CONNECTIONS)
             await self.listen(
-                lambda: HttpServerConnection(self.handle_request, limit=limit), readiness_address, 64
+                lambda: HttpServerConnection(self.handle_request, self.call_budget, limit),
+                readiness_address,
+                READINESS_BACKLOG,
             )
         self.front_listener = await self.bind(
             front_address,
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -39,6 +39,7 @@
 CROSS_REGION_CONNECT_EXTRA_S = 0.2
 CONNECTION_CAP_FRACTION = 0.8  # of a server's connection limit, shared by all gateways
 MIN_CONNECTION_CAP = 3
+MAX_HEAD_BYTES = 64 * 1024  # of a response, and of its trailer
 USER_TIMEOUT_MS = 4000  # TCP_USER_TIMEOUT
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -92,7 +93,7 @@
             return
         fault = ""
         try:
-            self.parser.feed_data(data)
+            self.parse(data, MAX_HEAD_BYTES)
         except (*ParserError, httptools.HttpParserUpgrade) as error:
             fault = parse_error(error).reason
         if self.result is not None:
@@ -137,6 +138,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit."""
+        self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes > self.pools.max_body_bytes:
             raise FramingError(413, "oversize")
@@ -144,7 +146,7 @@
 
     def on_message_complete(self) -> None:
         """Validate the response and determine the result of the forward."""
-        self.message_started = False
+        self.message_started, self.unparsed_bytes = False, 0
         body = self.take_counted_body()
         status = self.parser.get_status_code()
         if status < 200 or self.result is not None:
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -50,6 +50,10 @@
         super().__init__(reason)
         self.status, self.reason = status, reason
 
+    def without_traceback(self) -> FramingError:
+        """A copy to be kept: a traceback refers to the connection, and to the input that it has read."""
+        return FramingError(self.status, self.reason)
+
 
 class BodySink(Protocol):
     """Receiver of a request body that is streamed."""
@@ -230,6 +234,7 @@
     """Base class of all connections: parses messages, and logs one line with the close code at the end."""
 
     side = "?"
+    parser: Any  # of httptools; its calls come back to this object
 
     def __init__(self, context: ConnectionContext) -> None:
         self.context = context
@@ -241,6 +246,7 @@
         self.lost = False
         self.message_count = 0
         self.rules_label = ""  # versions of the rules that its last request was decided by
+        self.unparsed_bytes = 0  # received since a head, a piece of a body or a message was complete
         self.opened_at = context.clock.now()
         context.sockets.used += 1
         self.reset_message_state()
@@ -283,16 +289,20 @@
 
     def on_headers_complete(self) -> None:
         self.headers_complete = True
-        self.received_bytes = 0
+        self.received_bytes = self.unparsed_bytes = 0
+
+    def parse(self, data: bytes, head_limit: int = MAX_HEAD_BYTES) -> None:
+        """Feed the parser. Raises FramingError for a head, trailer or chunk header above ``head_limit``."""
+        self.unparsed_bytes += len(data)
+        self.feed_parser(data)
+        if self.unparsed_bytes > head_limit:
+            raise FramingError(431, "oversize")
 
-    def check_head_size(self, size: int) -> None:
-        """Count received bytes while the head is incomplete. Raises FramingError if it is too large."""
-        if self.message_started and not self.headers_complete:
-            self.received_bytes += size
-            if self.received_bytes > MAX_HEAD_BYTES:
-                raise FramingError(431, "oversize")
+    def feed_parser(self, data: bytes) -> None:
+        self.parser.feed_data(data)
 
     def on_body(self, part: bytes) -> None:
+        self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes > MAX_BODY_BYTES:
             raise FramingError(413, "oversize")
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -168,8 +168,7 @@
             self.discard(len(data))
             return
         try:
-            self.feed(data)
-            self.check_head_size(len(data))
+            self.parse(data)
             if (
                 self.message_started
                 and not self.paused
@@ -179,14 +178,14 @@
         except ParserError as e:
             self.reject_input(parse_error(e))
 
-    def feed(self, data: bytes) -> None:
+    def feed_parser(self, data: bytes) -> None:
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as e:
             # Upgrade offers are ignored, but the parser stops at them.
             self.parser = httptools.HttpRequestParser(self)
             if rest := data[e.args[0] :]:
-                self.feed(rest)
+                self.feed_parser(rest)
 
     def move_to(self, waiting_list: WaitingList | None) -> None:
         """Move to the end of this list; None while a request is being served or the connection closes."""
@@ -208,7 +207,7 @@
 
     def reject_input(self, fault: FramingError) -> None:
         """Send an error response and close, after the response of the current flow if there is one."""
-        self.fault = fault
+        self.fault = fault.without_traceback()
         if self.upload is not None:
             self.abort_upload()
         if self.flow is None:
@@ -269,6 +268,7 @@
         return int(declared) if declared.isdigit() and b"transfer-encoding" not in self.headers else None
 
     def on_body(self, part: bytes) -> None:
+        self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes > MAX_UPLOAD_BYTES:
             raise FramingError(413, "oversize")
@@ -321,7 +321,7 @@
             self.request_finished()  # the response was sent before the body was complete
 
     def on_message_complete(self) -> None:
-        self.message_started = False
+        self.message_started, self.unparsed_bytes = False, 0
         self.message_count += 1
         self.keep_alive = self.parser.should_keep_alive()
         if self.upload is not None:
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -92,8 +92,7 @@
         fault = ""
         self.last_received_at = self.context.clock.now()
         try:
-            self.parser.feed_data(data)
-            self.check_head_size(len(data))
+            self.parse(data)
         except (*ParserError, httptools.HttpParserUpgrade) as e:
             fault = parse_error(e).reason
         if self.receiver is not None:
@@ -146,6 +145,7 @@
         )
 
     def on_body(self, part: bytes) -> None:
+        self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes <= MAX_BODY_BYTES or self.parser.get_status_code() == 200:
             self.parts.append(part)  # data_received streams what exceeds the limit
@@ -256,7 +256,7 @@
         super().on_message_begin()
 
     def on_message_complete(self) -> None:
-        self.message_started = False
+        self.message_started, self.unparsed_bytes = False, 0
         status = self.parser.get_status_code()
         if status < 200:
             return
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -24,6 +24,7 @@
 from latchspoke.registry.registry import HeartbeatError, Registry
 from latchspoke.settings import Settings
 from latchspoke.settings.watcher import SettingsWatcher
+from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import Message, MessageConnection
 from latchspoke.transport.log import log, log_now, open_log
 
@@ -33,6 +34,10 @@
 START_RETRY_S = 0.1
 TASK_RETRY_S = 0.5  # until a task that has failed is started again
 RETRY_LOG_INTERVAL_S = 5.0
+INTERNAL_BACKLOG = 256  # connections that wait to be accepted
+MESSAGE_MEMORY_FRACTION = 0.1  # of the memory limit, for messages of other processes being received
+REGISTRY_MEMORY_FRACTION = 0.1  # for server instances
+CALL_MEMORY_FRACTION = 0.15  # for the bodies of calls, and for their answers
 
 
 class NotStartableError(Exception):
@@ -60,7 +65,10 @@
         self.instance_id = f"{self.rng.getrandbits(32):08x}"
         self.internal_address = s.ip_address, s.port_range[0] + self.PORT_OFFSET
         self.internal_endpoint = f"{s.ip_address}:{s.port_range[0] + self.PORT_OFFSET}"
-        self.registry = Registry(s.heartbeat_interval_s)
+        memory_bytes = s.memory_mb * 1024 * 1024
+        self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION))
+        self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION))
+        self.registry = Registry(s.heartbeat_interval_s, int(memory_bytes * REGISTRY_MEMORY_FRACTION))
         self.published_state = PublishedState(
             self.registry,
             diff_documents=diff,  # type: ignore[arg-type]
@@ -120,7 +128,9 @@
         """Listen on the internal port, for the membership and for connections."""
         await self.bind(self.internal_address, lambda: transport.start(*self.internal_address))
         await self.listen(
-            lambda: MessageConnection(self.inbound_message, self.inbound_closed), self.internal_address, 256
+            lambda: MessageConnection(self.inbound_message, self.inbound_closed, budget=self.message_budget),
+            self.internal_address,
+            INTERNAL_BACKLOG,
         )
 
     async def listen(
--- a/latchspoke/registry/registry.py
+++ b/latchspoke/registry/registry.py
@@ -21,6 +21,9 @@
 COLD_INCREASE_THRESHOLD_S = 0.15
 COLD_DECREASE_THRESHOLD_S = 0.4
 WARM_REPORT_PERIOD_S = 180.0  # the end of the cold time is sent this long, as gateways ramp up from it
+MAX_TEXT_LENGTH = 256  # of an id and of each text of a heartbeat
+INSTANCE_BYTES = 2048  # that one instance takes at a gateway, which has more of it than the control plane
+UNLIMITED_BYTES = 1 << 62
 TOMBSTONE_RETENTION_S = 60.0  # gone instances are kept, so that a late heartbeat has no effect
 
 
@@ -102,6 +105,8 @@
         slots = max(int(body.get("capacitySlots") or 1), 1)
         cold_until = now + cold_remaining_s if cold_remaining_s > 0 else -math.inf
         service, zone, version = str(body["service"]), str(body["zone"]), str(body.get("version", ""))
+        if max(map(len, (instance_id, address, service, zone, version))) > MAX_TEXT_LENGTH:
+            raise HeartbeatError(f"a beat of {instance_id[:40]}: a text of over {MAX_TEXT_LENGTH} characters")
         sequence = int(body.get("callSequence") or 0)
         return Entry(
             instance_id, service, address, zone, slots, state, sequence, cold_until, now, version=version
@@ -113,10 +118,20 @@
 class Registry:
     """The server instances known to this node."""
 
-    def __init__(self, heartbeat_interval_s: float) -> None:
+    def __init__(self, heartbeat_interval_s: float, memory_bytes: int = UNLIMITED_BYTES) -> None:
+        """``memory_bytes``: for all instances; no more new ones are accepted from servers then."""
         self.heartbeat_interval_s = heartbeat_interval_s
+        self.max_instances = memory_bytes // INSTANCE_BYTES
+        self.refused = 0  # heartbeats of new instances without room, since the start
         self.entries: dict[str, Entry] = {}
 
+    def accepts(self, instance_id: str) -> bool:
+        """Whether there is room for an instance of which a server tells; refusals are counted."""
+        if instance_id in self.entries or len(self.entries) < self.max_instances:
+            return True
+        self.refused += 1
+        return False
+
     def update(self, new: Entry, now: float) -> tuple[Entry, bool]:
         """Merge a heartbeat or an entry of another node; the result, and whether gateways need it."""
         old = self.entries.get(new.instance_id)
--- a/latchspoke/transport/body_budget.py
+++ b/latchspoke/transport/body_budget.py
@@ -1,12 +1,12 @@
-"""A bound on the memory of request bodies that a process is receiving or handling."""
+"""A bound on the memory of what callers leave with a process, such as bodies and unread answers."""
 
 from __future__ import annotations
 
-MIN_COUNTED_BYTES = 64 * 1024  # smaller bodies are not counted
+MIN_COUNTED_BYTES = 8 * 1024  # smaller bodies and answers are not counted
 
 
 class BodyBudget:
-    """Counts the bytes of large bodies against a limit; a single body is always admitted."""
+    """Counts bytes against a limit; a single body is always admitted."""
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
--- a/latchspoke/transport/connection.py
+++ b/latchspoke/transport/connection.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
 from latchspoke.transport.netstring import FrameDecoder, FrameError, encode_frame
 
 Message = dict[str, Any]
@@ -24,7 +25,10 @@
         on_message: MessageHandler,
         on_closed: CloseHandler,
         on_open: Callable[[MessageConnection], None] | None = None,
+        budget: BodyBudget = UNLIMITED,
     ) -> None:
+        """``budget``: for large messages while they are received; without room, the connection ends."""
+        self.budget, self.counted_bytes = budget, 0
         self.on_message, self.on_closed, self.on_open = on_message, on_closed, on_open
         self.transport: asyncio.Transport | None = None
         self.decoder = FrameDecoder()
@@ -56,6 +60,7 @@
         except FrameError as error:
             self.end(str(error))
             return
+        self.count_unfinished()
         for message in messages:
             if self.closed:
                 return
@@ -64,6 +69,18 @@
             else:
                 self.end("message is not a JSON object")
 
+    def count_unfinished(self) -> None:
+        """Count what has been received of an unfinished large message."""
+        size = len(self.decoder.buffer)
+        if size < MIN_COUNTED_BYTES:
+            size = 0
+        if size <= self.counted_bytes:
+            self.budget.release(self.counted_bytes - size)
+        elif not self.budget.reserve(size - self.counted_bytes):
+            self.end("too many large messages at once")
+            return
+        self.counted_bytes = size
+
     def send(self, message: object) -> bool:
         """Send a message. Returns whether it was queued; it may still be lost if the connection ends."""
         return self.write(encode_frame(message))
@@ -91,6 +108,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the reason and notify the owner."""
+        self.budget.release(self.counted_bytes)
+        self.counted_bytes, self.decoder = 0, FrameDecoder()
         self.reason = self.reason or (f"connection lost: {exc}" if exc else "closed by the peer")
         self.notify_closed()
 
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -1,8 +1,13 @@
-"""A minimal HTTP/1.1 server for calls with JSON bodies, such as readiness, discovery and operator calls."""
+"""A minimal HTTP/1.1 server for calls with JSON bodies, such as readiness, discovery and operator calls.
+
+A connection holds little however fast its client sends: nothing more is read while calls wait, or while the
+client doesn't read its answers. Large bodies and unread answers are counted against a budget of the process.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol, cast
 
@@ -14,12 +19,15 @@
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_TARGET_BYTES = 32 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # of a call, and of its trailer
 IDLE_TIMEOUT_S = 20.0
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 409: b"Conflict",
     412: b"Precondition Failed", 413: b"Content Too Large", 503: b"Service Unavailable",
 }  # fmt: skip
 
+NO_ROOM_FOR_ANSWER = b'{"errorText":"too many large answers that nobody reads"}'
+
 Response = tuple[int, Any]
 
 
@@ -65,7 +73,7 @@
     def __init__(
         self, handler: Handler, budget: BodyBudget = UNLIMITED, limit: ConnectionLimit | None = None
     ) -> None:
-        """``budget``: for large bodies; a call without room for its body is answered with 503."""
+        """``budget``: for large bodies and answers; a call without room for one is answered with 503."""
         self.handler, self.budget, self.limit = handler, budget, limit
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
@@ -73,8 +81,12 @@
         self.body_parts: list[bytes] = []
         self.body_size = 0
         self.counted_bytes = 0  # of the body that is being received
+        self.counted_answer_bytes = 0  # of answers that the client has not read
+        self.unparsed_bytes = 0  # received since a piece of a body or a call was complete
+        self.output_blocked = False  # the client doesn't read its answers
+        self.reading_paused = False
         self.response_task: asyncio.Task[None] | None = None
-        self.queue: list[Call] = []
+        self.queue: deque[Call] = deque()
         self.malformed = False  # malformed input was received; nothing after it is read
         self.without_room = False  # nothing more is read since there is no memory for the body
         self.idle_timer: asyncio.TimerHandle | None = None
@@ -82,6 +94,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the idle timer."""
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(0)  # so that any unread answer is known
         self.restart_idle_timer()
         if self.limit is not None:
             self.limit.add(self)
@@ -89,7 +102,7 @@
     @property
     def busy(self) -> bool:
         """Whether a call is being received or handled."""
-        return self.response_task is not None or bool(self.url)
+        return self.response_task is not None or bool(self.url) or bool(self.queue)
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -112,18 +125,44 @@
         """Parse input; malformed input is answered with 400, after the calls before it."""
         if self.malformed:
             return
+        self.unparsed_bytes += len(data)
         try:
             self.parser.feed_data(data)
+            if self.unparsed_bytes > MAX_HEAD_BYTES:
+                raise httptools.HttpParserError("head too long")
         except httptools.HttpParserCallbackError as error:
             self.refuse_rest(without_room=isinstance(error.__context__, NoRoomError))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.refuse_rest()
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Read no more while calls wait, or while the client doesn't read."""
+        pause = bool(self.queue) or self.output_blocked
+        if pause == self.reading_paused or self.transport is None or self.transport.is_closing():
+            return
+        self.reading_paused = pause
+        if pause:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """The client doesn't read its answers; calls wait until it does."""
+        self.output_blocked = True
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        """The client has read its answers."""
+        self.output_blocked = False
+        self.release_answers()
+        self.handle_queue()
 
     def refuse_rest(self, without_room: bool = False) -> None:
         """Read no more, and refuse what has been received of the current call."""
         self.malformed, self.without_room = True, without_room
         self.release_body()
-        if self.response_task is None:
+        if self.response_task is None and not self.queue:
             self.reject_rest()
 
     def reject_rest(self) -> None:
@@ -138,6 +177,11 @@
         self.budget.release(self.counted_bytes)
         self.counted_bytes, self.body_parts = 0, []
 
+    def release_answers(self) -> None:
+        """The client has read its answers, or has gone."""
+        self.budget.release(self.counted_answer_bytes)
+        self.counted_answer_bytes = 0
+
     def on_message_begin(self) -> None:
         """Reset the state for a new call."""
         self.url, self.body_parts, self.body_size = b"", [], 0
@@ -155,6 +199,7 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit and as far as there is memory."""
+        self.unparsed_bytes = 0
         self.body_size += len(part)
         if self.body_size > MAX_BODY_BYTES:
             raise ValueError("body too large")
@@ -174,10 +219,10 @@
             self.parser.should_keep_alive(),
             self.counted_bytes,
         )
-        self.url, self.counted_bytes, self.body_parts = b"", 0, []
+        self.url, self.counted_bytes, self.body_parts, self.unparsed_bytes = b"", 0, [], 0
         if self.limit is not None:
             self.limit.used(self)
-        if self.response_task is not None:
+        if self.response_task is not None or self.output_blocked or self.queue:
             self.queue.append(call)
         else:
             self.handle_call(call)
@@ -207,12 +252,15 @@
             self.budget.release(call.counted_bytes)
         self.response_task = None
         self.respond(status, body, keep_alive)
-        while self.queue and keep_alive and self.response_task is None:
-            call = self.queue.pop(0)
-            keep_alive = call.keep_alive
-            self.handle_call(call)
-        if self.malformed and keep_alive and self.response_task is None:
+        self.handle_queue()
+
+    def handle_queue(self) -> None:
+        """Handle the calls that wait, until one is answered later or the client doesn't read."""
+        while self.queue and self.response_task is None and not self.output_blocked and not self.gone:
+            self.handle_call(self.queue.popleft())
+        if self.malformed and self.response_task is None and not self.queue:
             self.reject_rest()
+        self.update_reading()
 
     def respond(self, status: int, body: Any, keep_alive: bool) -> None:
         """Write a response, then wait for the next call or close."""
@@ -223,17 +271,24 @@
             data, content_type = body.encode(), b"text/plain; version=0.0.4"
         else:
             data = b"" if body is None else body if isinstance(body, bytes) else msgspec.json.encode(body)
-        self.transport.write(
-            b"HTTP/1.1 %d %b\r\nContent-Type: %b\r\nContent-Length: %d\r\n%b\r\n%b"
-            % (
-                status,
-                REASONS.get(status, b"Status"),
-                content_type,
-                len(data),
-                b"" if keep_alive else b"Connection: close\r\n",
-                data,
-            )
+        if len(data) >= MIN_COUNTED_BYTES:
+            if self.budget.reserve(len(data)):
+                self.counted_answer_bytes += len(data)
+            else:
+                status, data = 503, NO_ROOM_FOR_ANSWER
+        head = b"HTTP/1.1 %d %b\r\nContent-Type: %b\r\nContent-Length: %d\r\n%b\r\n" % (
+            status,
+            REASONS.get(status, b"Status"),
+            content_type,
+            len(data),
+            b"" if keep_alive else b"Connection: close\r\n",
         )
+        if len(data) >= MIN_COUNTED_BYTES:
+            self.transport.writelines((head, data))  # without a copy
+        else:
+            self.transport.write(head + data)
+        if not self.output_blocked:
+            self.release_answers()
         if keep_alive:
             self.restart_idle_timer()
         else:
@@ -242,9 +297,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the idle timer, and drop what has been received."""
         self.transport = None
+        del self.parser  # it refers to this object, which would live on until the next collection
         if self.limit is not None:
             self.limit.remove(self)
         self.release_body()
+        self.release_answers()
         for call in self.queue:
             self.budget.release(call.counted_bytes)
         self.queue.clear()
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from latchspoke.dataplane.downstream import ClientConnection
+from latchspoke.dataplane.downstream import HEADER_BYTES, ClientConnection
 from latchspoke.dataplane.messages import Request
 from latchspoke.dataplane.upstream import ServerConnection
 from tests.dataplane.player import Player
@@ -360,3 +360,70 @@
         player.report_closed()
     connection = cast(ClientConnection, exchange.client.connection)
     assert connection.close_code == ("idle" if reads else "stuck")
+
+
+# Heads.
+
+MANY_HEADERS = 150  # within ``maxHeaderBytes`` of the tests
+COUNTED_BYTES = MANY_HEADERS * HEADER_BYTES
+
+
+def send_unfinished_head(exchange: Exchange, headers: int) -> None:
+    exchange.receive(exchange.client, b"GET /open/1 HTTP/1.1\r\nHost: shop\r\n" + b"X-1: 2\r\n" * headers)
+
+
+def test_heads_of_many_fields_that_do_not_end_are_bounded(player: Player) -> None:
+    """3,000 clients that sent 900 headers and stopped took a gateway to 637 MB, of which 300 were allowed."""
+    memory = player.node.downstream.body_memory
+    memory.limit_bytes = COUNTED_BYTES * 2
+    exchanges = [Exchange(player, number) for number in range(5)]
+    for exchange in exchanges:
+        send_unfinished_head(exchange, MANY_HEADERS)
+    assert COUNTED_BYTES < memory.held_bytes <= memory.limit_bytes
+    refused = [exchange for exchange in exchanges if exchange.client.written]
+    assert len(refused) == 3
+    assert all(exchange.client.written.startswith(b"HTTP/1.1 503 ") for exchange in refused)
+    for exchange in exchanges:
+        exchange.client.written = b""
+        player.step(f"{exchange.name} eof")
+    assert memory.held_bytes == 0
+
+
+def test_a_head_of_many_fields_is_counted_while_its_request_lasts(player: Player) -> None:
+    memory = player.node.downstream.body_memory
+    exchange = Exchange(player, 1)
+    send_head(exchange, "Content-Length: 0", "X-1: 2\r\n" * MANY_HEADERS)
+    assert memory.held_bytes >= COUNTED_BYTES
+    exchange.answer()
+    exchange.got(200)
+    assert memory.held_bytes == 0
+
+
+def test_a_head_of_ordinary_size_is_not_counted(player: Player) -> None:
+    send_unfinished_head(Exchange(player, 1), 15)
+    assert player.node.downstream.body_memory.held_bytes == 0
+
+
+def test_a_trailer_that_does_not_end_is_refused(player: Player) -> None:
+    """All of it was kept."""
+    exchange = Exchange(player, 1)
+    send_head(exchange, "Transfer-Encoding: chunked")
+    exchange.receive(exchange.client, b"0\r\nX-Trailer: ")
+    for _ in range(10):
+        exchange.receive(exchange.client, b"a" * 1000)
+    exchange.got(431)
+    assert not player.dialled
+
+
+def test_a_client_that_does_not_read_is_not_read_from(player: Player) -> None:
+    """Its requests were answered into a buffer that grew as long as it sent."""
+    exchange = Exchange(player, 1)
+    exchange.client.unsent = 70_000
+    exchange.client.connection.pause_writing()
+    assert exchange.client.paused
+    exchange.client.connection.resume_writing()
+    assert not exchange.client.paused
+    exchange.client.connection.pause_writing()
+    player.clock.advance(605.0)
+    player.report_closed()
+    assert exchange.client.ended
--- a/tests/lab/test_strange_machines.py
+++ b/tests/lab/test_strange_machines.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import math
 import os
+import random
 import shutil
 import signal
 import subprocess
@@ -18,13 +20,16 @@
 import pytest
 
 from latchspoke.lab.soak.conditions import Conditions, LogSink
+from latchspoke.lab.soak.deployments import SMALL, Role
 from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, ROOT, Machine, claim_net
+from latchspoke.lab.soak.hostile_callers import HostileCallers
 from latchspoke.lab.soak.parties import KEYS, call
 from latchspoke.lab.soak.record import Record
-from latchspoke.lab.soak.run import Plan, Run, play
+from latchspoke.lab.soak.run import SERVICES, Plan, Run, play
 
 RELOADS = 80  # whose lines fill a pipe of 4 KiB
 UP_TIMEOUT_S = 20.0
+LITTLE_MEMORY_MB = 80  # of which a process takes 31 without callers
 
 
 def run_start(
@@ -46,10 +51,11 @@
 
 @contextlib.asynccontextmanager
 async def system(
-    folder: Path, net: int, conditions: Conditions, control: int = 1, gateways: int = 1
-) -> AsyncIterator[Run]:
+    folder: Path, net: int, conditions: Conditions, control: int = 1, gateways: int = 1,
+    plan: Plan | None = None,
+) -> AsyncIterator[Run]:  # fmt: skip
     """A started system whose machines all have these conditions; no process may end by itself."""
-    run = Run(Plan(1, gateways=gateways, control=control, clients=0, servers=1), folder, net)
+    run = Run(plan or Plan(1, gateways=gateways, control=control, clients=0, servers=1), folder, net)
     for machine in [*run.fleet.core, *run.fleet.edges]:
         machine.conditions = conditions
     try:
@@ -175,6 +181,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "attack",
+    ["unfinished_heads", "unread_calls", "waiting_orders", "unfinished_messages", "endless_headers"],
+)
+def test_callers_that_do_not_read_or_finish_take_no_process_over_its_memory(
+    attack: str, net: int, tmp_path: Path
+) -> None:
+    """Each kind took a process to several times its memory, in seconds."""
+    role = Role(1, LITTLE_MEMORY_MB, 900)
+    deployment = dataclasses.replace(SMALL, gateways=role, control=role)
+
+    async def scenario() -> None:
+        plan = Plan(1, gateways=1, control=1, clients=0, servers=1, deployment=deployment)
+        async with system(tmp_path, net, Conditions(), plan=plan) as run:
+            callers = HostileCallers(run.fleet, random.Random(1), SERVICES[0])
+            await callers.run(getattr(callers, attack), 4.0)
+            run.fleet.sample_memory()
+            await until_served(run.fleet.edges[0])
+
+    asyncio.run(scenario())
+
+
 def test_data_directory_that_is_missing_is_created(net: int, tmp_path: Path) -> None:
     """All control machines ended with 1, so that no configuration was taken."""
 
--- a/tests/registry/test_registry.py
+++ b/tests/registry/test_registry.py
@@ -11,7 +11,10 @@
 
 from latchspoke.registry.registry import (
     GONE_AFTER_HEARTBEATS,
+    INSTANCE_BYTES,
+    MAX_TEXT_LENGTH,
     SILENT_AFTER_HEARTBEATS,
+    TOMBSTONE_RETENTION_S,
     Entry,
     HeartbeatError,
     Registry,
@@ -171,3 +174,24 @@
         else:
             assert silent or state is State.GONE or sequence <= 2
     assert not Registry(1.5).refresh("nobody", 1, 0.0)
+
+
+def test_new_names_of_servers_do_not_use_up_the_memory_of_all_processes() -> None:
+    """Callers that registered ever new names took gateways over their memory."""
+    registry = Registry(HEARTBEAT_INTERVAL_S, memory_bytes=3 * INSTANCE_BYTES)
+    for number in range(3):
+        assert registry.accepts(f"i{number}")
+        registry.update(heartbeat(1, NOW, f"i{number}"), NOW)
+    assert not registry.accepts("i3") and registry.accepts("i1")
+    registry.mark_gone("i1", NOW)
+    registry.sweep(NOW + TOMBSTONE_RETENTION_S + 1.0, detect_silence=False)
+    assert registry.accepts("i3")
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "version"])
+def test_texts_of_a_heartbeat_are_bounded(field: str) -> None:
+    """Each was kept in all processes, whatever its length."""
+    with pytest.raises(HeartbeatError, match=str(MAX_TEXT_LENGTH)):
+        heartbeat(1, NOW, **{field: "x" * (MAX_TEXT_LENGTH + 1)})
+    with pytest.raises(HeartbeatError, match=str(MAX_TEXT_LENGTH)):
+        heartbeat(1, NOW, "i" * (MAX_TEXT_LENGTH + 1))
