Acknowledge a large order that was taken before without decoding it again

What callers saw: 3,800 routes and 57,000 tenants in one order, sent again each second, had no clear answer within 25 to 30 s, though the order itself takes 1.7 s. Cause: each copy was decoded and checked anew, for longer than its caller waited, at one control machine after the other. Change: before it decodes a large order, a control machine looks whether one of the same bytes was taken, confirms that with a majority, and acknowledges it. The new test failed before (decoded again).

--- a/latchspoke/configstore/config_state.py
+++ b/latchspoke/configstore/config_state.py
@@ -100,6 +100,10 @@
         """The zones with at least one active evacuation."""
         return frozenset(zone for zone, (_, out) in self.zones.items() if out)
 
+    def has_taken(self, digest: str) -> bool:
+        """Whether one of the remembered versions was accepted from these bytes."""
+        return digest in self.history.values()
+
     def evacuation_count(self, zone: str) -> int:
         """The number of active evacuations of ``zone``."""
         return int(self.zones.get(zone, (0, False))[1])
--- a/latchspoke/controlplane/calls.py
+++ b/latchspoke/controlplane/calls.py
@@ -40,6 +40,11 @@
     """The request is invalid regardless of the current configuration; the message is one line."""
 
 
+def digest_of(body: bytes) -> str:
+    """What identifies an order that is sent again."""
+    return blake2b(body, digest_size=16).hexdigest()
+
+
 def parse_configuration(
     body: bytes, current: dict[str, Any] | None, version: int
 ) -> tuple[dict[str, Any], list[str]]:
@@ -61,8 +66,7 @@
         )
     except (TypeError, ValueError) as error:
         raise InvalidRequestError(str(error)) from None
-    digest = blake2b(body, digest_size=16).hexdigest()
-    command: dict[str, Any] = {"version": new_version, "base": base_version, "digest": digest}
+    command: dict[str, Any] = {"version": new_version, "base": base_version, "digest": digest_of(body)}
     if "upsert" in request or "remove" in request:
         command |= {"do": "modify", "patch": request}
         if base_version != version or current is None:
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -20,6 +20,7 @@
 from latchspoke.controlplane.calls import (
     ApiCall,
     InvalidRequestError,
+    digest_of,
     heartbeat_target,
     parse_call,
     parse_configuration,
@@ -539,8 +540,17 @@
         async with self.large_order:
             if caller.gone:  # it has sent the order again, and would have it decoded twice
                 return 503, {"errorText": "the caller has left"}
+            if await self.is_in_force(digest_of(body)):
+                return 200, {"version": f"{self.replica.state.version:08x}"}
             return await self.change_configuration(body)
 
+    async def is_in_force(self, digest: str) -> bool:
+        """Whether an order was taken before: a large one takes longer than its callers wait for an answer."""
+        return (
+            self.replica.state.has_taken(digest)
+            and await self.replica.confirm_read(STORE_TIMEOUT_S) is not None
+        )
+
     async def change_configuration(self, body: bytes) -> Response:
         """Check a full configuration or a patch, and submit it."""
         if self.stopping:
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -64,6 +64,7 @@
                 for zone, count in self.active_evacuations.items()
             },
             evacuation_count=lambda zone: self.active_evacuations.get(zone, 0), rollouts=self.rollouts,
+            has_taken=lambda digest: digest in [command.get("digest") for command in self.commands],
         )  # fmt: skip
 
     def start(self) -> None:
@@ -548,6 +549,19 @@
     assert len(attempts) == 2
 
 
+def test_large_order_that_was_taken_is_acknowledged_again_without_decoding_it(
+    harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each copy was decoded and checked, for longer than its caller waited: no clear answer for 25 s."""
+    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    body = json.dumps(sample_document()).encode()
+    caller = cast(Any, SimpleNamespace(gone=False))
+    status, first = harness.run(harness.node.handle_configuration(body, caller))
+    assert status == 200
+    monkeypatch.setattr(harness.node, "parse_command", lambda body: pytest.fail("decoded again"))
+    assert harness.run(harness.node.handle_configuration(body, caller)) == (200, first)
+
+
 def test_large_order_whose_caller_has_left_is_not_decoded(
     harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
