--- a/latchspoke/lab/soak/__main__.py
+++ b/latchspoke/lab/soak/__main__.py
@@ -28,18 +28,20 @@
     *, seed: int = 1, seeds: int = 1, seconds: float = 15.0, gateways: int | None = None,
     control: int | None = None, clients: int = 24, series: int = 3, keep: str = "",
     deployment: DeploymentName = "small", strange: bool = False, troubles: bool = False,
+    hostile: bool = False,
 ) -> int:  # fmt: skip
     """Play so many seeds from --seed on; --keep FOLDER keeps all logs, else those of findings stay.
 
     --deployment gives machines, limits and bounds; --strange plays machines that nobody prepared; --troubles
-    plays losses of many machines at once, cuts, clock steps, processor quotas, machines that join and go.
+    plays losses of many machines at once, cuts, clock steps, processor quotas, machines that join and go;
+    --hostile adds crowds of clients that nobody controls, all the time.
     """
     site = DEPLOYMENTS[deployment]
     bad = 0
     for number in range(seed, seed + seeds):
         plan = Plan(
             number, seconds, gateways or site.gateways.count, control or site.control.count, clients,
-            series=series, deployment=site, strange=strange, troubles=troubles,
+            series=series, deployment=site, strange=strange, troubles=troubles, hostile=hostile,
         )  # fmt: skip
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-", dir=keep or None))
         net, claim = claim_net()
--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -64,6 +64,16 @@
     faults: LinkFaults = field(default_factory=lambda: LinkFaults())
 
 
+def open_descriptors(machine: Machine) -> int:
+    """The descriptors that a machine's process has open; 0 if there is none."""
+    if machine.process is None:
+        return 0
+    try:
+        return len(os.listdir(f"/proc/{machine.process.pid}/fd"))
+    except OSError:
+        return 0
+
+
 def claim_net() -> tuple[int, socket.socket]:
     """The second part of loopback addresses that no other run has, until the socket is closed."""
     for net in random.SystemRandom().sample(NETS, len(NETS)):
