Release a server connection that is called off just as it opens

What callers saw: clients that connect, ask and leave at once took a gateway out of service for good: each request afterwards got 503 (no_server), with no connection open and every server ready. Cause: a forward that is cancelled in the turn of the event loop in which its connection opens. uvloop then closes the transport without connection_lost, and the connection counts as open at its server, and as a socket, for ever. 1,280 such (the cap of four servers: opened 2,173, closed 893) were enough. Change: a dial that ends with a transport but without connection_lost calls it. For all who dial: also the gateway in service. Why it works: the call comes after the loop had its turn to call connection_lost itself; it is made once.

--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -199,8 +199,13 @@
 
         def on_done(task: asyncio.Task[Any]) -> None:
             # Also if the task was cancelled before its first step, to release the socket that was counted.
-            if (task.cancelled() or task.exception()) and connection.transport is None:
+            if not task.cancelled() and task.exception() is None:
+                return
+            if connection.transport is None:
                 connection.dial_failed("unreachable")
+            elif not connection.lost:
+                # Called off just as it opened: the event loop then closes it without telling.
+                connection.connection_lost(None)
 
         task.add_done_callback(on_done)
         return task.cancel
