Keep short chunks and trailers as bytes, and bound the framing of chunks

Cause: each chunk was kept as an object of its own (24 times its two bytes) and counted as its bytes; each trailer was kept as a header, uncounted, and went to the server. Extensions cost processor without an end.

--- a/latchspoke/dataplane/body_memory.py
+++ b/latchspoke/dataplane/body_memory.py
@@ -137,7 +137,7 @@
         """Keep a part of the body. Raises FramingError if there is no room for a body of unknown size."""
         body = self.large_body
         if body is None:
-            self.parts.append(part)
+            self.keep_part(part)
             if self.received_bytes >= MIN_COUNTED_BYTES and not self.waits_for_memory:
                 self.large_body = self.count_received(self.memory.count(0))
             return
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -150,11 +150,13 @@
         self.waiting_since = self.context.clock.now()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header; headers that must be unique are checked."""
+        """Collect one header; headers that must be unique are checked, and trailers are ignored."""
         lower = name.lower()
         previous = self.headers.get(lower)
         if previous is not None and lower in SINGLE_VALUE_HEADERS:
             raise FramingError(400, "repeated header")
+        if self.headers_complete:
+            return
         # Repeated Connection headers are combined: each names hop-by-hop headers.
         self.headers[lower] = value if previous is None or lower != b"connection" else previous + b"," + value
         self.header_pairs.append((name, value))
--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -114,7 +114,9 @@
         self.header_pairs = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header; trailers are ignored."""
+        if self.headers_complete:
+            return
         name = name.lower()
         self.headers[name] = value
         if name not in HOP_BY_HOP_HEADERS:
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -14,6 +14,7 @@
 
 from latchspoke.config import Address
 from latchspoke.net.clock import Clock, Timer
+from latchspoke.net.framing import framed_size_limit
 from latchspoke.net.stats import Stats
 
 log = logging.getLogger("latchspoke.connection")
@@ -35,6 +36,19 @@
 }
 
 
+def join_part(parts: list[bytes | bytearray], part: bytes) -> None:
+    """Add a part of a body to the one piece that was kept of it, if any; alone, a short part takes far more.
+
+    A first part is kept as it is, without a copy.
+    """
+    if not parts:
+        parts.append(part)
+        return
+    if isinstance(parts[0], bytes):
+        parts[0] = bytearray(parts[0])
+    parts[0] += part
+
+
 DECIMAL_PATTERN = re.compile(rb"[+-]?\d{1,32}(?:\.\d{0,32})?(?:[eE][+-]?\d{1,2})?")
 
 
@@ -70,9 +84,11 @@
 
     __slots__ = ("buffered_bytes", "complete", "consumed", "length", "parts", "set_paused", "sink")
 
-    def __init__(self, length: int | None, parts: list[bytes], set_paused: Callable[[bool], None]) -> None:
-        self.length, self.parts, self.set_paused = length, parts, set_paused
-        self.buffered_bytes = sum(map(len, parts))
+    def __init__(self, length: int | None, start: bytes, set_paused: Callable[[bool], None]) -> None:
+        """``length`` in bytes, if known; ``start``: what has been received."""
+        self.length, self.set_paused = length, set_paused
+        self.parts: list[bytes | bytearray] = [start]
+        self.buffered_bytes = len(start)
         self.sink: BodySink | None = None
         # Whether all parts have arrived, and whether some were sent or dropped, which rules out a retry.
         self.complete = self.consumed = False
@@ -82,7 +98,7 @@
             if not self.sink.send_part(part, False):
                 self.set_paused(True)
         elif not self.consumed:
-            self.parts.append(part)
+            join_part(self.parts, part)
             self.buffered_bytes += len(part)
             if self.buffered_bytes > MAX_BODY_BYTES:
                 self.set_paused(True)
@@ -279,8 +295,9 @@
 
     def reset_message_state(self) -> None:
         self.headers: dict[bytes, bytes] = {}
-        self.parts: list[bytes] = []
+        self.parts: list[bytes | bytearray] = []  # one at most: see ``join_part``
         self.received_bytes = 0
+        self.body_input_bytes = 0  # received since the head, with the framing of chunks
         self.message_started = False
         self.headers_complete = False
 
@@ -294,14 +311,21 @@
 
     def on_headers_complete(self) -> None:
         self.headers_complete = True
-        self.received_bytes = self.unparsed_bytes = 0
+        self.received_bytes = self.unparsed_bytes = self.body_input_bytes = 0
 
     def parse(self, data: bytes, head_limit: int = MAX_HEAD_BYTES) -> None:
-        """Feed the parser. Raises FramingError for a head, trailer or chunk header above ``head_limit``."""
+        """Feed the parser. Raises FramingError for a head, trailer or chunk header above ``head_limit``.
+
+        Also for a body whose chunks are framed by far more bytes than they hold.
+        """
         self.unparsed_bytes += len(data)
         self.feed_parser(data)
         if self.unparsed_bytes > head_limit:
             raise FramingError(431, "oversize")
+        if self.message_started and self.headers_complete:
+            self.body_input_bytes += len(data)
+            if self.body_input_bytes > framed_size_limit(self.received_bytes):
+                raise FramingError(400, "framing")
 
     def feed_parser(self, data: bytes) -> None:
         self.parser.feed_data(data)
@@ -311,12 +335,16 @@
         self.received_bytes += len(part)
         if self.received_bytes > MAX_BODY_BYTES:
             raise FramingError(413, "oversize")
-        self.parts.append(part)
+        self.keep_part(part)
+
+    def keep_part(self, part: bytes) -> None:
+        """Keep a part of the body."""
+        join_part(self.parts, part)
 
     def take_body(self) -> bytes:
         """Return the body received so far, which the connection no longer holds afterwards."""
         parts, self.parts = self.parts, []
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        return bytes(parts[0]) if parts else b""
 
     # Callbacks of the transport.
 
--- a/latchspoke/net/listener.py
+++ b/latchspoke/net/listener.py
@@ -275,7 +275,7 @@
         if self.upload is not None:
             self.upload.put(part)
             return
-        self.parts.append(part)
+        self.keep_part(part)
         if self.received_bytes > MAX_BODY_BYTES:
             self.begin_upload()
 
@@ -284,8 +284,7 @@
         method: bytes = self.parser.get_method()
         if self.url.startswith(b"/-/"):
             raise FramingError(413, "oversize")
-        parts, self.parts = self.parts, []
-        self.upload = Upload(self.length, parts, self.pause_upload)
+        self.upload = Upload(self.length, self.take_body(), self.pause_upload)
         self.start_request(method, b"", self.upload)
 
     def pause_upload(self, paused: bool) -> None:
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -148,7 +148,7 @@
         self.unparsed_bytes = 0
         self.received_bytes += len(part)
         if self.received_bytes <= MAX_BODY_BYTES or self.parser.get_status_code() == 200:
-            self.parts.append(part)  # data_received streams what exceeds the limit
+            self.keep_part(part)  # data_received streams what exceeds the limit
 
     def begin_streaming(self) -> None:
         """Report the attempt as successful and start the response, which rules out a retry."""
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from latchspoke.net.framing import framed_size_limit
 from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
 from latchspoke.transport.connection_limit import ConnectionLimit
 
@@ -78,8 +79,8 @@
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.url = b""
-        self.body_parts: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()  # of the call that is being received
+        self.body_input_bytes = 0  # with the framing of its chunks
         self.counted_bytes = 0  # of the body that is being received
         self.counted_answer_bytes = 0  # of answers that the client has not read
         self.unparsed_bytes = 0  # received since a piece of a body or a call was complete
@@ -130,6 +131,10 @@
             self.parser.feed_data(data)
             if self.unparsed_bytes > MAX_HEAD_BYTES:
                 raise httptools.HttpParserError("head too long")
+            if self.body:
+                self.body_input_bytes += len(data)
+                if self.body_input_bytes > framed_size_limit(len(self.body)):
+                    raise httptools.HttpParserError("chunks too short for their framing")
         except httptools.HttpParserCallbackError as error:
             self.refuse_rest(without_room=isinstance(error.__context__, NoRoomError))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -175,7 +180,7 @@
     def release_body(self) -> None:
         """The body that was being received is dropped."""
         self.budget.release(self.counted_bytes)
-        self.counted_bytes, self.body_parts = 0, []
+        self.counted_bytes, self.body = 0, bytearray()
 
     def release_answers(self) -> None:
         """The client has read its answers, or has gone."""
@@ -184,7 +189,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the state for a new call."""
-        self.url, self.body_parts, self.body_size = b"", [], 0
+        self.url, self.body, self.body_input_bytes = b"", bytearray(), 0
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target, up to the size limit."""
@@ -200,26 +205,26 @@
     def on_body(self, part: bytes) -> None:
         """Append a part of the body, up to the size limit and as far as there is memory."""
         self.unparsed_bytes = 0
-        self.body_size += len(part)
-        if self.body_size > MAX_BODY_BYTES:
+        self.body += part
+        body_size = len(self.body)
+        if body_size > MAX_BODY_BYTES:
             raise ValueError("body too large")
-        if self.body_size > MIN_COUNTED_BYTES:
-            size = self.body_size - self.counted_bytes
+        if body_size > MIN_COUNTED_BYTES:
+            size = body_size - self.counted_bytes
             if not self.budget.reserve(size):
                 raise NoRoomError
             self.counted_bytes += size
-        self.body_parts.append(part)
 
     def on_message_complete(self) -> None:
         """Handle the call, or queue it behind the one in progress."""
         call = Call(
             self.parser.get_method().decode("latin-1"),
             self.url.decode("latin-1"),
-            b"".join(self.body_parts),
+            bytes(self.body),
             self.parser.should_keep_alive(),
             self.counted_bytes,
         )
-        self.url, self.counted_bytes, self.body_parts, self.unparsed_bytes = b"", 0, [], 0
+        self.url, self.counted_bytes, self.body, self.unparsed_bytes = b"", 0, bytearray(), 0
         if self.limit is not None:
             self.limit.used(self)
         if self.response_task is not None or self.output_blocked or self.queue:
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -427,3 +427,47 @@
     player.clock.advance(605.0)
     player.report_closed()
     assert exchange.client.ended
+
+
+# Pieces that take more than their bytes.
+
+SHORT_CHUNKS = 7_000
+SHORT_TRAILERS = 1_500
+CONNECTIONS = 20
+MAX_BYTES_FOR_EACH = 50_000  # of a connection that has sent 14 KB
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [b"2\r\nab\r\n" * SHORT_CHUNKS, b"1\r\na\r\n0\r\n" + b"t:\r\n" * SHORT_TRAILERS],
+    ids=["chunks", "trailers"],
+)
+def test_short_pieces_take_little_more_than_their_bytes(rest: bytes) -> None:
+    """Chunks of two bytes took 24 times their size, and each trailer was kept: up to 360 KB a connection."""
+    player = Player()
+    player.step(f'orders {{"limits": {LIMITS.replace("2048", "16384")}}}')
+    exchanges = [Exchange(player, number) for number in range(CONNECTIONS + 1)]
+    for exchange in exchanges:
+        send_head(exchange, "Transfer-Encoding: chunked")
+    exchanges[0].receive(exchanges[0].client, rest)
+    with without_collector():
+        tracemalloc.start()
+        try:
+            for exchange in exchanges[1:]:
+                exchange.receive(exchange.client, rest)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert held_bytes < CONNECTIONS * MAX_BYTES_FOR_EACH
+    assert not any(exchange.client.written for exchange in exchanges)
+
+
+def test_trailers_are_not_passed_on(player: Player) -> None:
+    """They went to the server among the headers."""
+    exchange = Exchange(player, 1)
+    send_head(exchange, "Transfer-Encoding: chunked")
+    exchange.receive(exchange.client, b"2\r\nab\r\n0\r\nX-Trailer: 1\r\n\r\n")
+    server = exchange.server()
+    assert server.written.endswith(b"\r\n\r\nab") and b"X-Trailer" not in server.written
+    exchange.answer()
+    exchange.got(200)
