Let large inputs take turns, and read little at a time

What callers saw: while a crowd sends large inputs without an end, ordinary requests time out or get 503. Cause: a turn of the event loop handled up to 32 reads of 256 KB of every connection before anything else. Change: clients, callers and peers are read 16 KB at a time; a turn handles inputs under 2 KB as they come, and 64 KB of larger ones; the others wait in order, unread. Input of a peer that has closed meanwhile isn't handled.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -690,7 +690,7 @@
             if name in s.listen_addresses:
                 await self.listen(
                     lambda: HttpServerConnection(
-                        self.handle_request, self.call_budget, self.connection_limit
+                        self.handle_request, self.call_budget, self.connection_limit, self.input_turns
                     ),
                     s.listen_addresses[name],
                     512,
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -33,6 +33,7 @@
     parse_error,
     read_decimal,
 )
+from latchspoke.transport.input_turns import BoundedInput, InputTurns
 
 if TYPE_CHECKING:
     from barleyhub.affinity.rendezvous import Caller
@@ -70,7 +71,7 @@
     return value[len(AUTH_SCHEME) :].strip().decode("latin-1")
 
 
-class ClientConnection(BodyConnection):
+class ClientConnection(BodyConnection, BoundedInput):
     """One client connection, serving one request at a time."""
 
     side = "client"
@@ -78,7 +79,7 @@
 
     def __init__(self, downstream: Downstream) -> None:
         super().__init__(downstream.context, downstream.body_memory)
-        self.downstream = downstream
+        self.downstream, self.input_turns = downstream, downstream.input_turns
         self.exchange: ClientExchange | None = None  # the received request that is not yet answered
         self.fault: FramingError | None = None
         self.ending = False
@@ -264,7 +265,16 @@
     @property
     def may_read(self) -> bool:
         """Whether more input may be read now."""
-        return not self.waits_for_memory and not self.output_blocked
+        return not self.waits_for_memory and not self.output_blocked and not self.held_input
+
+    def close_unread(self) -> None:
+        """Close the connection, as its client has closed it."""
+        self.end("peer_closed")
+
+    @property
+    def has_unread_input(self) -> bool:
+        """As ``Connection.has_unread_input``; also input that waits for its turn."""
+        return bool(self.held_input) or super().has_unread_input
 
     def pause_writing(self) -> None:
         """The client doesn't read its responses; further requests are not read until it does."""
@@ -304,7 +314,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request that is in flight."""
         super().connection_lost(exc)
-        self.head_memory = None
+        self.head_memory, self.held_input = None, b""
         self.downstream.clients.pop(self, None)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
@@ -321,9 +331,10 @@
         rng: random.Random,
         current_epoch: Callable[[], DecisionLease | None],
         body_memory: BodyMemory,
+        input_turns: InputTurns,
     ) -> None:
         """``current_epoch``: the epoch under which tenant keys may be used now, or None."""
-        self.body_memory = body_memory
+        self.body_memory, self.input_turns = body_memory, input_turns
         self.context, self.core, self.rng, self.current_epoch = context, core, rng, current_epoch
         self.clients: dict[ClientConnection, None] = {}  # in order of arrival
         self.table: Table | None = None
@@ -494,7 +505,11 @@
 
     def idle_clients(self) -> list[ClientConnection]:
         """Connections without a request in progress."""
-        return [c for c in self.clients if not c.busy and not c.message_started and not c.ending]
+        return [
+            client
+            for client in self.clients
+            if not client.busy and not client.message_started and not client.ending and not client.held_input
+        ]
 
     @property
     def in_flight(self) -> int:
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -131,7 +131,12 @@
         self.reach_graph = self.core.reach_graph = AttemptRecorder(self.clock.now())
         self.core.epoch_provider = self
         self.downstream = Downstream(
-            self.context, self.core, self.rng, self.current_epoch, BodyMemory(body_limit_bytes, self.clock)
+            self.context,
+            self.core,
+            self.rng,
+            self.current_epoch,
+            BodyMemory(body_limit_bytes, self.clock),
+            self.input_turns,
         )
         self.downstream.configuration_confirmed = (
             lambda: self.lease.proven_at > -math.inf and self.has_peers()
@@ -522,7 +527,9 @@
         if readiness_address is not None:
             limit = ConnectionLimit(MAX_READINESS_CONNECTIONS)
             await self.listen(
-                lambda: HttpServerConnection(self.handle_request, self.call_budget, limit),
+                lambda: HttpServerConnection(
+                    self.handle_request, self.call_budget, limit, self.input_turns
+                ),
                 readiness_address,
                 READINESS_BACKLOG,
             )
--- a/latchspoke/lab/virtual.py
+++ b/latchspoke/lab/virtual.py
@@ -73,7 +73,7 @@
 class VirtualServer(SocketStub):
     """The server object that ``create_server`` returns."""
 
-    def __init__(self, network: Network, address: Address, factory: Callable[[], asyncio.Protocol]) -> None:
+    def __init__(self, network: Network, address: Address, factory: Callable[[], Any]) -> None:
         self.network, self.address, self.factory = network, address, factory
         self.sockets = [self]
 
@@ -119,7 +119,7 @@
 class VirtualTransport(InMemoryTransport):
     """One end of a connection in memory."""
 
-    def __init__(self, loop: VirtualLoop, here: Address, there: Address, protocol: asyncio.Protocol) -> None:
+    def __init__(self, loop: VirtualLoop, here: Address, there: Address, protocol: Any) -> None:
         super().__init__(here, there)
         self.loop, self.protocol = loop, protocol
         self.other: VirtualTransport | None = None
@@ -201,7 +201,7 @@
         pass
 
     async def create_server(  # type: ignore[override]
-        self, protocol_factory: Callable[[], asyncio.Protocol], host: str, port: int, **kwargs: Any
+        self, protocol_factory: Callable[[], Any], host: str, port: int, **kwargs: Any
     ) -> VirtualServer:
         if not port:
             self.network.port += 1
@@ -214,12 +214,12 @@
 
     async def create_connection(  # type: ignore[override]
         self,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], Any],
         host: str,
         port: int,
         local_addr: Address | None = None,
         **kwargs: Any,
-    ) -> tuple[VirtualTransport, asyncio.Protocol]:
+    ) -> tuple[VirtualTransport, Any]:
         """Connect after one round trip; between partitioned hosts this waits until the partition heals."""
         network = self.network
         self.network.port += 1
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -251,7 +251,7 @@
     return any(has_input(sock) for sock in server.sockets)
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BaseProtocol):
     """Base class of all connections: parses messages, and logs one line with the close code at the end."""
 
     side = "?"
@@ -348,6 +348,10 @@
 
     # Callbacks of the transport.
 
+    def data_received(self, data: bytes) -> None:
+        """Handle input."""
+        raise NotImplementedError
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if self.dial_timer is not None:
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -26,6 +26,7 @@
 from latchspoke.settings.watcher import SettingsWatcher
 from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import Message, MessageConnection
+from latchspoke.transport.input_turns import InputTurns
 from latchspoke.transport.log import log, log_now, open_log
 
 # Within the internal port range.
@@ -68,6 +69,7 @@
         memory_bytes = s.memory_mb * 1024 * 1024
         self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION))
         self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION))
+        self.input_turns = InputTurns(loop)
         self.registry = Registry(s.heartbeat_interval_s, int(memory_bytes * REGISTRY_MEMORY_FRACTION))
         self.published_state = PublishedState(
             self.registry,
@@ -134,7 +136,7 @@
         )
 
     async def listen(
-        self, protocol: Callable[[], asyncio.Protocol], address: tuple[str, int], backlog: int
+        self, protocol: Callable[[], asyncio.BaseProtocol], address: tuple[str, int], backlog: int
     ) -> asyncio.Server:
         """Listen on an address until the end of the process."""
         server: asyncio.Server = await self.bind(
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -17,6 +17,7 @@
 from latchspoke.net.framing import framed_size_limit
 from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
 from latchspoke.transport.connection_limit import ConnectionLimit
+from latchspoke.transport.input_turns import BoundedInput, InputTurns
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_TARGET_BYTES = 32 * 1024
@@ -65,17 +66,21 @@
     counted_bytes: int
 
 
-class HttpServerConnection(asyncio.Protocol):
+class HttpServerConnection(BoundedInput):
     """One client connection.
 
     ``handler`` gets method, target, body and caller, and returns status and JSON body.
     """
 
     def __init__(
-        self, handler: Handler, budget: BodyBudget = UNLIMITED, limit: ConnectionLimit | None = None
+        self,
+        handler: Handler,
+        budget: BodyBudget = UNLIMITED,
+        limit: ConnectionLimit | None = None,
+        input_turns: InputTurns | None = None,
     ) -> None:
         """``budget``: for large bodies and answers; a call without room for one is answered with 503."""
-        self.handler, self.budget, self.limit = handler, budget, limit
+        self.handler, self.budget, self.limit, self.input_turns = handler, budget, limit, input_turns
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
         self.url = b""
@@ -103,7 +108,11 @@
     @property
     def busy(self) -> bool:
         """Whether a call is being received or handled."""
-        return self.response_task is not None or bool(self.url) or bool(self.queue)
+        return bool(self.response_task is not None or self.url or self.queue or self.held_input)
+
+    def close_unread(self) -> None:
+        """As ``abort``."""
+        self.abort()
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -143,7 +152,7 @@
 
     def update_reading(self) -> None:
         """Read no more while calls wait, or while the client doesn't read."""
-        pause = bool(self.queue) or self.output_blocked
+        pause = bool(self.queue) or self.output_blocked or bool(self.held_input)
         if pause == self.reading_paused or self.transport is None or self.transport.is_closing():
             return
         self.reading_paused = pause
@@ -301,6 +310,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the idle timer, and drop what has been received."""
+        self.held_input = b""
         self.transport = None
         del self.parser  # it refers to this object, which would live on until the next collection
         if self.limit is not None:
