Refuse calls whose bodies take many times their size once decoded

What callers saw: one order, heartbeat or rollout of 8 MB of empty objects took a control machine to 230 to 237 MB of 96. Cause: JSON is decoded whole, whatever it takes; any call could have a body of 32 MB. Change: only configurations may have a body over 64 KiB (413 otherwise); a configuration whose values would take over 30% of the memory limit gets 413 before it is decoded.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -46,6 +46,7 @@
 from latchspoke.transport.connection import Message, MessageConnection
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
+from latchspoke.transport.json_size import decoded_size
 from latchspoke.transport.log import log
 from latchspoke.transport.request_ids import first_request_id
 
@@ -535,6 +536,8 @@
 
     async def handle_configuration(self, body: bytes, caller: Caller) -> Response:
         """Handle a full configuration or a patch; large ones one after the other."""
+        if decoded_size(body) > self.max_decoded_bytes:
+            return 413, {"errorText": "the configuration takes too much memory"}
         if len(body) < LARGE_ORDER_BYTES:
             return await self.change_configuration(body)
         async with self.large_order:
@@ -690,7 +693,11 @@
             if name in s.listen_addresses:
                 await self.listen(
                     lambda: HttpServerConnection(
-                        self.handle_request, self.call_budget, self.connection_limit, self.input_turns
+                        self.handle_request,
+                        self.call_budget,
+                        self.connection_limit,
+                        self.input_turns,
+                        takes_large_body,
                     ),
                     s.listen_addresses[name],
                     512,
@@ -739,6 +746,11 @@
         self.stopped.set()
 
 
+def takes_large_body(target: bytes) -> bool:
+    """Whether calls of this target may have a large body: those that carry a configuration."""
+    return b"call=configuration." in target
+
+
 def main(path: str | None = None) -> None:
     """Run this program until it has stopped in order. Raises SettingsError, NotStartableError."""
     process_run.main(Node, path)
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -528,7 +528,7 @@
             limit = ConnectionLimit(MAX_READINESS_CONNECTIONS)
             await self.listen(
                 lambda: HttpServerConnection(
-                    self.handle_request, self.call_budget, limit, self.input_turns
+                    self.handle_request, self.call_budget, limit, self.input_turns, lambda target: False
                 ),
                 readiness_address,
                 READINESS_BACKLOG,
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -38,6 +38,7 @@
 INTERNAL_BACKLOG = 256  # connections that wait to be accepted
 MESSAGE_MEMORY_FRACTION = 0.1  # of the memory limit, for messages of other processes being received
 REGISTRY_MEMORY_FRACTION = 0.1  # for server instances
+DECODED_MEMORY_FRACTION = 0.3  # for one configuration or message once it is decoded
 CALL_MEMORY_FRACTION = 0.15  # for the bodies of calls, and for their answers
 
 
@@ -70,6 +71,7 @@
         self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION))
         self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION))
         self.input_turns = InputTurns(loop)
+        self.max_decoded_bytes = int(memory_bytes * DECODED_MEMORY_FRACTION)
         self.registry = Registry(s.heartbeat_interval_s, int(memory_bytes * REGISTRY_MEMORY_FRACTION))
         self.published_state = PublishedState(
             self.registry,
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -20,6 +20,7 @@
 from latchspoke.transport.input_turns import BoundedInput, InputTurns
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_SMALL_BODY_BYTES = 64 * 1024  # of calls that take no large body
 MAX_TARGET_BYTES = 32 * 1024
 MAX_HEAD_BYTES = 64 * 1024  # of a call, and of its trailer
 IDLE_TIMEOUT_S = 20.0
@@ -52,8 +53,24 @@
 Handler = Callable[[str, str, bytes, Caller], "Response | Awaitable[Response]"]
 
 
-class NoRoomError(Exception):
-    """There is no memory for the body of a call at present."""
+class Refusal(msgspec.Struct, frozen=True):
+    """Why nothing more is read from a connection."""
+
+    status: int
+    text: str
+
+
+MALFORMED = Refusal(400, "no HTTP request")
+TOO_LARGE = Refusal(413, "the body is too large for this call")
+NO_ROOM = Refusal(503, "too many large bodies at once")
+
+
+class RefusedError(Exception):
+    """A call is refused before it is complete."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.text)
+        self.refusal = refusal
 
 
 class Call(msgspec.Struct, frozen=True):
@@ -78,8 +95,13 @@
         budget: BodyBudget = UNLIMITED,
         limit: ConnectionLimit | None = None,
         input_turns: InputTurns | None = None,
+        takes_large_body: Callable[[bytes], bool] = lambda target: True,
     ) -> None:
-        """``budget``: for large bodies and answers; a call without room for one is answered with 503."""
+        """``budget``: for large bodies and answers; a call without room for one is answered with 503.
+
+        ``takes_large_body``: whether calls of a target may have a body above ``MAX_SMALL_BODY_BYTES``.
+        """
+        self.takes_large_body = takes_large_body
         self.handler, self.budget, self.limit, self.input_turns = handler, budget, limit, input_turns
         self.parser = httptools.HttpRequestParser(self)
         self.transport: asyncio.Transport | None = None
@@ -93,8 +115,7 @@
         self.reading_paused = False
         self.response_task: asyncio.Task[None] | None = None
         self.queue: deque[Call] = deque()
-        self.malformed = False  # malformed input was received; nothing after it is read
-        self.without_room = False  # nothing more is read since there is no memory for the body
+        self.refusal: Refusal | None = None  # nothing more is read
         self.idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -133,7 +154,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse input; malformed input is answered with 400, after the calls before it."""
-        if self.malformed:
+        if self.refusal is not None:
             return
         self.unparsed_bytes += len(data)
         try:
@@ -145,9 +166,10 @@
                 if self.body_input_bytes > framed_size_limit(len(self.body)):
                     raise httptools.HttpParserError("chunks too short for their framing")
         except httptools.HttpParserCallbackError as error:
-            self.refuse_rest(without_room=isinstance(error.__context__, NoRoomError))
+            cause = error.__context__
+            self.refuse_rest(cause.refusal if isinstance(cause, RefusedError) else MALFORMED)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.refuse_rest()
+            self.refuse_rest(MALFORMED)
         self.update_reading()
 
     def update_reading(self) -> None:
@@ -172,19 +194,16 @@
         self.release_answers()
         self.handle_queue()
 
-    def refuse_rest(self, without_room: bool = False) -> None:
+    def refuse_rest(self, refusal: Refusal) -> None:
         """Read no more, and refuse what has been received of the current call."""
-        self.malformed, self.without_room = True, without_room
+        self.refusal = refusal
         self.release_body()
         if self.response_task is None and not self.queue:
-            self.reject_rest()
+            self.reject_rest(refusal)
 
-    def reject_rest(self) -> None:
-        """Answer 503 for lack of memory, or else 400, and close."""
-        if self.without_room:
-            self.respond(503, {"errorText": "too many large bodies at once"}, False)
-        else:
-            self.respond(400, {"errorText": "no HTTP request"}, False)
+    def reject_rest(self, refusal: Refusal) -> None:
+        """Answer that the rest is refused, and close."""
+        self.respond(refusal.status, {"errorText": refusal.text}, False)
 
     def release_body(self) -> None:
         """The body that was being received is dropped."""
@@ -216,12 +235,14 @@
         self.unparsed_bytes = 0
         self.body += part
         body_size = len(self.body)
-        if body_size > MAX_BODY_BYTES:
-            raise ValueError("body too large")
+        if body_size > MAX_SMALL_BODY_BYTES and (
+            body_size > MAX_BODY_BYTES or not self.takes_large_body(self.url)
+        ):
+            raise RefusedError(TOO_LARGE)
         if body_size > MIN_COUNTED_BYTES:
             size = body_size - self.counted_bytes
             if not self.budget.reserve(size):
-                raise NoRoomError
+                raise RefusedError(NO_ROOM)
             self.counted_bytes += size
 
     def on_message_complete(self) -> None:
@@ -272,8 +293,8 @@
         """Handle the calls that wait, until one is answered later or the client doesn't read."""
         while self.queue and self.response_task is None and not self.output_blocked and not self.gone:
             self.handle_call(self.queue.popleft())
-        if self.malformed and self.response_task is None and not self.queue:
-            self.reject_rest()
+        if self.refusal is not None and self.response_task is None and not self.queue:
+            self.reject_rest(self.refusal)
         self.update_reading()
 
     def respond(self, status: int, body: Any, keep_alive: bool) -> None:
