Bound connections and messages at the internal port

What was seen: 1,300 connections that say nothing took processes of 1,000 descriptors to 1,320; messages of 8 MB took them to 239 MB of 96. Cause: connections to the internal port had no limit, and messages were decoded whatever they take. Change: a quarter of the descriptors for it; above that, the oldest connection on which no message has come is closed. At gateways they count among the sockets. A message whose values would take over 30% of the memory ends its connection. Their input takes turns too.

--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -108,6 +108,7 @@
         self.context = ConnectionContext(
             self.clock, self.stats, Sockets(settings.file_descriptors - 200), Dialer(self.loop)
         )
+        self.peer_connections = ConnectionLimit(self.peer_connections.most, self.count_sockets)
         bound = settings.bound
         self.balancer = Balancer(
             settings.name,
@@ -385,6 +386,10 @@
         for message in self.rollout_reports.due_messages(self.published_state.committed.index, now):
             connection.send(message)
 
+    def count_sockets(self, change: int) -> None:
+        """Connections of peers have opened or closed; they take sockets from clients and servers."""
+        self.context.sockets.used += change
+
     def handle_proof_request(self, connection: MessageConnection, proof_id: int) -> None:
         """Another gateway without a control-plane node asks for a proof; ours is passed on with its age."""
         age = self.clock.now() - self.lease.proven_at
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -25,7 +25,8 @@
 from latchspoke.settings import Settings
 from latchspoke.settings.watcher import SettingsWatcher
 from latchspoke.transport.body_budget import BodyBudget
-from latchspoke.transport.connection import Message, MessageConnection
+from latchspoke.transport.connection import InboundLimits, Message, MessageConnection
+from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.input_turns import InputTurns
 from latchspoke.transport.log import log, log_now, open_log
 
@@ -39,6 +40,8 @@
 MESSAGE_MEMORY_FRACTION = 0.1  # of the memory limit, for messages of other processes being received
 REGISTRY_MEMORY_FRACTION = 0.1  # for server instances
 DECODED_MEMORY_FRACTION = 0.3  # for one configuration or message once it is decoded
+PEER_DESCRIPTOR_FRACTION = 0.25  # of the descriptors, for connections to the internal port
+MIN_PEER_CONNECTIONS = 32
 CALL_MEMORY_FRACTION = 0.15  # for the bodies of calls, and for their answers
 
 
@@ -72,6 +75,9 @@
         self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION))
         self.input_turns = InputTurns(loop)
         self.max_decoded_bytes = int(memory_bytes * DECODED_MEMORY_FRACTION)
+        self.peer_connections = ConnectionLimit(
+            max(int(s.file_descriptors * PEER_DESCRIPTOR_FRACTION), MIN_PEER_CONNECTIONS)
+        )
         self.registry = Registry(s.heartbeat_interval_s, int(memory_bytes * REGISTRY_MEMORY_FRACTION))
         self.published_state = PublishedState(
             self.registry,
@@ -130,9 +136,12 @@
 
     async def listen_internal(self, transport: MembershipTransport) -> None:
         """Listen on the internal port, for the membership and for connections."""
+        limits = InboundLimits(self.peer_connections, self.input_turns, self.max_decoded_bytes)
         await self.bind(self.internal_address, lambda: transport.start(*self.internal_address))
         await self.listen(
-            lambda: MessageConnection(self.inbound_message, self.inbound_closed, budget=self.message_budget),
+            lambda: MessageConnection(
+                self.inbound_message, self.inbound_closed, budget=self.message_budget, limits=limits
+            ),
             self.internal_address,
             INTERNAL_BACKLOG,
         )
--- a/latchspoke/transport/connection.py
+++ b/latchspoke/transport/connection.py
@@ -7,8 +7,12 @@
 from collections.abc import Callable
 from typing import Any, cast
 
+import msgspec
+
 from latchspoke.transport.body_budget import MIN_COUNTED_BYTES, UNLIMITED, BodyBudget
-from latchspoke.transport.netstring import FrameDecoder, FrameError, encode_frame
+from latchspoke.transport.connection_limit import ConnectionLimit
+from latchspoke.transport.input_turns import BoundedInput, InputTurns
+from latchspoke.transport.netstring import MAX_DECODED_BYTES, FrameDecoder, FrameError, encode_frame
 
 Message = dict[str, Any]
 MessageHandler = Callable[["MessageConnection", Message], None]
@@ -17,7 +21,15 @@
 USER_TIMEOUT_MS = 2500  # TCP_USER_TIMEOUT: sent data may stay unacknowledged for so long
 
 
-class MessageConnection(asyncio.Protocol):
+class InboundLimits(msgspec.Struct, frozen=True):
+    """What connections to the internal port may take, all together."""
+
+    connections: ConnectionLimit
+    input_turns: InputTurns
+    max_decoded_bytes: int  # of one message
+
+
+class MessageConnection(BoundedInput):
     """One connection. ``on_message`` gets each message, ``on_closed`` the reason for the end, once."""
 
     def __init__(
@@ -26,22 +38,54 @@
         on_closed: CloseHandler,
         on_open: Callable[[MessageConnection], None] | None = None,
         budget: BodyBudget = UNLIMITED,
+        limits: InboundLimits | None = None,
     ) -> None:
-        """``budget``: for large messages while they are received; without room, the connection ends."""
-        self.budget, self.counted_bytes = budget, 0
+        """``budget``: for large messages while they are received; without room, the connection ends.
+
+        ``limits``: for a connection that another process, or anybody else, has opened.
+        """
+        self.budget, self.counted_bytes, self.limits = budget, 0, limits
+        self.input_turns = limits.input_turns if limits is not None else None
         self.on_message, self.on_closed, self.on_open = on_message, on_closed, on_open
         self.transport: asyncio.Transport | None = None
-        self.decoder = FrameDecoder()
+        self.decoder = FrameDecoder(
+            max_decoded_bytes=limits.max_decoded_bytes if limits is not None else MAX_DECODED_BYTES
+        )
         self.reason = ""
         self.closed = False
         self.received_bytes = 0
         self.largest_unread_frame = 0  # bytes; a single frame may exceed the limit
         self.peer = ""
         self.tag: Any = None  # for use by the owner
+        self.message_count = 0  # received
+
+    @property
+    def busy(self) -> bool:
+        """Whether a message has come, so that a peer has most likely opened this connection."""
+        return self.message_count > 0
+
+    def abort(self) -> None:
+        """Close the connection, as there are too many."""
+        self.end("too many connections")
+
+    def close_unread(self) -> None:
+        """Close the connection, as its peer has closed it."""
+        self.end("closed by the peer")
+
+    def update_reading(self) -> None:
+        """Read no more while input waits for its turn."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.held_input:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set socket options and notify the owner."""
         self.transport = cast(asyncio.Transport, transport)
+        if self.limits is not None:
+            self.limits.connections.add(self)
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else "?"
         raw_socket = transport.get_extra_info("socket")
@@ -65,6 +109,7 @@
             if self.closed:
                 return
             if isinstance(message, dict):
+                self.message_count += 1
                 self.on_message(self, message)
             else:
                 self.end("message is not a JSON object")
@@ -109,7 +154,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the reason and notify the owner."""
         self.budget.release(self.counted_bytes)
-        self.counted_bytes, self.decoder = 0, FrameDecoder()
+        self.counted_bytes, self.decoder, self.held_input = 0, FrameDecoder(), b""
+        if self.limits is not None:
+            self.limits.connections.remove(self)
         self.reason = self.reason or (f"connection lost: {exc}" if exc else "closed by the peer")
         self.notify_closed()
 
--- a/latchspoke/transport/netstring.py
+++ b/latchspoke/transport/netstring.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
+from latchspoke.transport.json_size import decoded_size
+
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_DECODED_BYTES = 1 << 62
+MIN_ESTIMATED_BYTES = 64 * 1024  # smaller messages take little
 MAX_LENGTH_DIGITS = len(str(MAX_FRAME_BYTES))
 
 ENCODE = msgspec.json.Encoder().encode
@@ -26,8 +30,11 @@
 class FrameDecoder:
     """Decodes messages from a byte stream, however it is split."""
 
-    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
-        self.max_frame_bytes = max_frame_bytes
+    def __init__(
+        self, max_frame_bytes: int = MAX_FRAME_BYTES, max_decoded_bytes: int = MAX_DECODED_BYTES
+    ) -> None:
+        """``max_decoded_bytes``: that one message may take in memory, as far as can be told beforehand."""
+        self.max_frame_bytes, self.max_decoded_bytes = max_frame_bytes, max_decoded_bytes
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Any]:
@@ -49,8 +56,11 @@
                 break
             if self.buffer[end] != 0x2C:
                 raise FrameError("frame does not end with a comma")
+            text = memoryview(self.buffer)[colon + 1 : end].tobytes()
+            if len(text) > MIN_ESTIMATED_BYTES and decoded_size(text) > self.max_decoded_bytes:
+                raise FrameError("message takes too much memory")
             try:
-                messages.append(DECODE(memoryview(self.buffer)[colon + 1 : end].tobytes()))
+                messages.append(DECODE(text))
             except msgspec.DecodeError as error:
                 raise FrameError(f"frame is not valid JSON: {error}") from None
             start = end + 1
