Bound all that callers hold together, with unfinished heads and waiting calls

What was seen: all kinds of clients at once took processes to 183 MB of 96, callers that send 400 calls at a time to 106. Cause: five budgets of their own added up to 85% of the memory; unfinished heads and calls that wait weren't counted.

--- a/latchspoke/dataplane/body_memory.py
+++ b/latchspoke/dataplane/body_memory.py
@@ -10,6 +10,7 @@
 
 from latchspoke.net.clock import Clock
 from latchspoke.net.http import Connection, ConnectionContext, FramingError
+from latchspoke.transport.body_budget import MemoryPool
 
 MIN_COUNTED_BYTES = 16 * 1024  # a smaller body is not counted
 MEMORY_FRACTION = 0.25  # of the memory limit of the process: for requests, and as much for responses
@@ -36,15 +37,26 @@
 class BodyMemory:
     """Counts the bytes of large bodies against a limit; a single body is always admitted."""
 
-    def __init__(self, limit_bytes: int, clock: Clock) -> None:
+    def __init__(self, limit_bytes: int, clock: Clock, pool: MemoryPool | None = None) -> None:
+        """``pool``: what this memory is a part of."""
         self.limit_bytes, self.clock = max(limit_bytes, MIN_LIMIT_BYTES), clock
+        self.pool = pool or MemoryPool(self.limit_bytes)
+        self.pool.on_release.append(self.schedule_grant)
         self.held_bytes = 0
         self.waiting: dict[BodyConnection, int] = {}  # with the size (bytes), in order of arrival
         self.grant_scheduled = False
 
     def has_room(self, size: int) -> bool:
         """Whether a body of this size (bytes) may be received now."""
-        return not self.held_bytes or self.held_bytes + size <= self.limit_bytes
+        fits = self.held_bytes + size <= self.limit_bytes and self.pool.has_room(size)
+        if fits or not self.held_bytes:
+            return True
+        self.refused_at = self.clock.now()
+        return False
+
+    def is_short(self, now: float) -> bool:
+        """Whether bodies wait for room, or there was none a moment ago."""
+        return bool(self.waiting) or now - self.refused_at < SHORT_S
 
     def reserve(self, size: int) -> LargeBody | None:
         """An empty body that counts as ``size`` bytes; None without room, or if others wait."""
@@ -55,16 +67,22 @@
     def count(self, size: int) -> LargeBody:
         """As ``reserve``, but without regard to the limit."""
         self.held_bytes += size
+        self.pool.held_bytes += size
         return LargeBody(self, size)
 
     def grow(self, body: LargeBody, size: int) -> None:
         """Count ``size`` more bytes for a body, without regard to the limit."""
         body.counted_bytes += size
         self.held_bytes += size
+        self.pool.held_bytes += size
 
     def release(self, size: int) -> None:
         """Bytes are no longer held. Waiting connections are told later: this may be called anywhere."""
         self.held_bytes -= size
+        self.pool.release(size)
+
+    def schedule_grant(self) -> None:
+        """Room may have become free."""
         if self.waiting and not self.grant_scheduled:
             self.grant_scheduled = True
             self.clock.schedule(self.clock.now(), self.grant)
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -167,8 +167,8 @@
         self.url += url
 
     def count_head(self) -> None:
-        """Count a head of many fields against the memory for bodies. Raises FramingError without room."""
-        size = len(self.header_pairs) * HEADER_BYTES
+        """Count a large head against the memory for bodies. Raises FramingError without room."""
+        size = max(len(self.header_pairs) * HEADER_BYTES, self.unparsed_bytes)
         if size < MIN_COUNTED_HEAD_BYTES:
             return
         if self.head_memory is None:
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -124,7 +124,10 @@
         )
         body_limit_bytes = int(settings.memory_mb * 1024 * 1024 * MEMORY_FRACTION)
         self.upstream_pools = UpstreamPools(
-            self.context, self.balancer, 64 * 1024 * 1024, BodyMemory(body_limit_bytes, self.clock)
+            self.context,
+            self.balancer,
+            64 * 1024 * 1024,
+            BodyMemory(body_limit_bytes, self.clock, self.memory_pool),
         )
         self.ports = Ports(self.upstream_pools, self.clock)
         self.core = DataPlaneCore(self.dispatcher, self.ports, self.stats)
@@ -136,7 +139,7 @@
             self.core,
             self.rng,
             self.current_epoch,
-            BodyMemory(body_limit_bytes, self.clock),
+            BodyMemory(body_limit_bytes, self.clock, self.memory_pool),
             self.input_turns,
         )
         self.downstream.configuration_confirmed = (
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -24,7 +24,7 @@
 from latchspoke.registry.registry import HeartbeatError, Registry
 from latchspoke.settings import Settings
 from latchspoke.settings.watcher import SettingsWatcher
-from latchspoke.transport.body_budget import BodyBudget
+from latchspoke.transport.body_budget import BodyBudget, MemoryPool
 from latchspoke.transport.connection import InboundLimits, Message, MessageConnection
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.input_turns import InputTurns
@@ -37,6 +37,7 @@
 TASK_RETRY_S = 0.5  # until a task that has failed is started again
 RETRY_LOG_INTERVAL_S = 5.0
 INTERNAL_BACKLOG = 256  # connections that wait to be accepted
+POOL_MEMORY_FRACTION = 0.45  # of the memory limit, for all that callers and servers leave with a process
 MESSAGE_MEMORY_FRACTION = 0.1  # of the memory limit, for messages of other processes being received
 REGISTRY_MEMORY_FRACTION = 0.1  # for server instances
 DECODED_MEMORY_FRACTION = 0.3  # for one configuration or message once it is decoded
@@ -71,8 +72,9 @@
         self.internal_address = s.ip_address, s.port_range[0] + self.PORT_OFFSET
         self.internal_endpoint = f"{s.ip_address}:{s.port_range[0] + self.PORT_OFFSET}"
         memory_bytes = s.memory_mb * 1024 * 1024
-        self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION))
-        self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION))
+        self.memory_pool = MemoryPool(int(memory_bytes * POOL_MEMORY_FRACTION))
+        self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION), self.memory_pool)
+        self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION), self.memory_pool)
         self.input_turns = InputTurns(loop)
         self.max_decoded_bytes = int(memory_bytes * DECODED_MEMORY_FRACTION)
         self.peer_connections = ConnectionLimit(
--- a/latchspoke/transport/http_server.py
+++ b/latchspoke/transport/http_server.py
@@ -21,6 +21,8 @@
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
 MAX_SMALL_BODY_BYTES = 64 * 1024  # of calls that take no large body
+CALL_BYTES = 512  # that a call takes while it waits, beside a large body
+MAX_UNCOUNTED_CALLS = 16  # that wait on one connection
 MAX_TARGET_BYTES = 32 * 1024
 MAX_HEAD_BYTES = 64 * 1024  # of a call, and of its trailer
 IDLE_TIMEOUT_S = 20.0
@@ -109,6 +111,7 @@
         self.body = bytearray()  # of the call that is being received
         self.body_input_bytes = 0  # with the framing of its chunks
         self.counted_bytes = 0  # of the body that is being received
+        self.counted_head_bytes = 0  # of a head that is being received
         self.counted_answer_bytes = 0  # of answers that the client has not read
         self.unparsed_bytes = 0  # received since a piece of a body or a call was complete
         self.output_blocked = False  # the client doesn't read its answers
@@ -170,8 +173,23 @@
             self.refuse_rest(cause.refusal if isinstance(cause, RefusedError) else MALFORMED)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.refuse_rest(MALFORMED)
+        self.count_head()
         self.update_reading()
 
+    def count_head(self) -> None:
+        """Count what has been received of an unfinished head, or release it."""
+        size = self.unparsed_bytes if self.refusal is None else 0
+        if size < MIN_COUNTED_BYTES:
+            size = 0
+        if size <= self.counted_head_bytes:
+            self.budget.release(self.counted_head_bytes - size)
+        elif not self.budget.reserve(size - self.counted_head_bytes):
+            self.budget.release(self.counted_head_bytes)
+            self.counted_head_bytes = 0
+            self.refuse_rest(NO_ROOM)
+            return
+        self.counted_head_bytes = size
+
     def update_reading(self) -> None:
         """Read no more while calls wait, or while the client doesn't read."""
         pause = bool(self.queue) or self.output_blocked or bool(self.held_input)
@@ -247,6 +265,11 @@
 
     def on_message_complete(self) -> None:
         """Handle the call, or queue it behind the one in progress."""
+        waits = self.response_task is not None or self.output_blocked or bool(self.queue)
+        if len(self.queue) >= MAX_UNCOUNTED_CALLS:
+            if not self.budget.reserve(CALL_BYTES):
+                raise RefusedError(NO_ROOM)
+            self.counted_bytes += CALL_BYTES
         call = Call(
             self.parser.get_method().decode("latin-1"),
             self.url.decode("latin-1"),
@@ -257,7 +280,7 @@
         self.url, self.counted_bytes, self.body, self.unparsed_bytes = b"", 0, bytearray(), 0
         if self.limit is not None:
             self.limit.used(self)
-        if self.response_task is not None or self.output_blocked or self.queue:
+        if waits:
             self.queue.append(call)
         else:
             self.handle_call(call)
@@ -338,6 +361,8 @@
             self.limit.remove(self)
         self.release_body()
         self.release_answers()
+        self.budget.release(self.counted_head_bytes)
+        self.counted_head_bytes = 0
         for call in self.queue:
             self.budget.release(call.counted_bytes)
         self.queue.clear()
