Close clients that hold memory by sending or reading slowly while others wait for it

What callers saw (first look): while 300 clients read 8 MiB at 3 KB/s, 1 of 5 and 0 of 3 ordinary requests were answered; one client that announces a large body and sends nothing keeps other large bodies out. Cause: memory for bodies was given until the client was done, and a byte in 15 s was enough to keep it. Change: while bodies wait for memory, or did in the last 3 s, clients below 16 KiB/s over a second are closed (a sender gets 408), as are those that read an answer after their request's deadline.

--- a/latchspoke/dataplane/body_memory.py
+++ b/latchspoke/dataplane/body_memory.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import cast
 
 from latchspoke.net.clock import Clock
@@ -16,6 +17,7 @@
 MEMORY_FRACTION = 0.25  # of the memory limit of the process: for requests, and as much for responses
 GROWTH_BYTES = 64 * 1024  # that a body of unknown size waits for
 MIN_LIMIT_BYTES = 1024 * 1024
+SHORT_S = 3.0  # that memory counts as short after there was no room
 NO_MEMORY = "no_memory"  # reason code of a refusal
 
 
@@ -44,6 +46,7 @@
         self.pool = pool or MemoryPool(self.limit_bytes)
         self.pool.on_release.append(self.schedule_grant)
         self.held_bytes = 0
+        self.refused_at = -math.inf  # when there was no room last
         self.waiting: dict[BodyConnection, int] = {}  # with the size (bytes), in order of arrival
         self.grant_scheduled = False
 
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
@@ -24,6 +25,7 @@
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.exchange import ClientExchange, status_line
 from latchspoke.dataplane.messages import Request
+from latchspoke.dataplane.pace import Pace
 from latchspoke.dataplane.upstream import HOP_BY_HOP_HEADERS
 from latchspoke.net.http import (
     CONNECT_GRACE_S,
@@ -86,6 +88,9 @@
         self.keep_alive = True
         self.waiting_since = self.opened_at  # when the current wait (idle, or for more input) began
         self.unsent_bytes, self.unsent_since = 0, 0.0  # of a large response, and when this last changed
+        self.body_pace: Pace | None = None  # of a large body that is being received
+        self.answer_pace: Pace | None = None  # of a large answer that is being sent
+        self.answer_deadline = math.inf  # after which the client doesn't wait for it
         self.output_blocked = False  # the client doesn't read: nothing more is read from it meanwhile
         self.head_memory: LargeBody | None = None  # counts a head of many fields
         self.url = b""
@@ -127,7 +132,8 @@
         if self.fault is None or self.transport is None or self.lost:
             return
         fault, self.ending = self.fault, True
-        self.headers, self.header_pairs, self.head_memory = {}, [], None
+        self.headers, self.header_pairs, self.parts = {}, [], []
+        self.head_memory = self.large_body = None
         self.close_code = self.close_code or "bad_request"
         self.context.stats[f"clients.{fault.status}"] += 1
         if fault.status:
@@ -147,7 +153,7 @@
             raise FramingError(0, "pipelined")
         super().on_message_begin()
         self.url = b""
-        self.header_pairs, self.head_memory = [], None
+        self.header_pairs, self.head_memory, self.body_pace = [], None, None
         self.waiting_since = self.context.clock.now()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -185,6 +191,7 @@
         if size > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
         if size >= MIN_COUNTED_BYTES:
+            self.body_pace = Pace(self.waiting_since, 0)
             self.announce_large_body(size)
         if self.waits_for_memory:
             clock, request = self.context.clock, self.headers
@@ -217,11 +224,13 @@
         if self.received_bytes > self.downstream.limits.body_bytes:
             raise FramingError(413, "oversize")
         self.waiting_since = self.context.clock.now()
+        if self.body_pace is None and self.received_bytes >= MIN_COUNTED_BYTES:
+            self.body_pace = Pace(self.waiting_since, self.received_bytes)
         self.store_part(part)
 
     def on_message_complete(self) -> None:
         """Start processing the request."""
-        self.message_started, self.unparsed_bytes = False, 0
+        self.message_started, self.unparsed_bytes, self.body_pace = False, 0, None
         self.message_count += 1
         self.keep_alive = self.parser.should_keep_alive()
         refused = self.waits_for_memory
@@ -257,6 +266,8 @@
                 self.transport.writelines((data, body))
                 self.unsent_bytes = self.transport.get_write_buffer_size()
                 self.unsent_since = self.waiting_since
+                self.answer_pace = Pace(self.waiting_since, -self.unsent_bytes)
+                self.answer_deadline = exchange.deadline
             else:
                 self.transport.write(data)
             self.after_response()
@@ -299,6 +310,23 @@
             self.unsent_bytes = 0
             self.end("stuck")
 
+    def end_if_slow(self, now: float) -> None:
+        """Close the connection if it holds memory for long: called while memory is short.
+
+        It does so by a large answer that the client reads slowly, or no longer waits for, or by a large body
+        that it sends slowly.
+        """
+        if self.unsent_bytes and self.answer_pace is not None and self.transport is not None:
+            unsent_bytes = self.transport.get_write_buffer_size()
+            slow = self.answer_pace.update(now, -unsent_bytes)
+            if unsent_bytes and (slow or now > self.answer_deadline):
+                self.context.stats["clients.slow"] += 1
+                self.end("slow")
+        elif self.body_pace is not None and not self.waits_for_memory and not self.ending:
+            if self.body_pace.update(now, self.received_bytes):
+                self.context.stats["clients.slow"] += 1
+                self.reject(FramingError(408, "slow"))
+
     def after_response(self) -> None:
         """Wait for the next request, or close."""
         if self.fault is not None:
@@ -344,6 +372,7 @@
         # Whether it was confirmed recently enough to deny requests that it does not cover.
         self.confirmation_recent: Callable[[], bool] = lambda: True
         self.held_requests: dict[ClientExchange, None] = {}  # waiting for the configuration
+        self.memory_is_short: Callable[[float], bool] = body_memory.is_short
         self.stopping = False
         self.request_ids = itertools.count(1)
         self.max_clients = int(context.sockets.max_used * 0.6)
@@ -395,6 +424,7 @@
         left = min(left / 1000 if left is not None else MAX_DEADLINE_S, route.timeout) - (
             now - exchange.received_at
         )
+        exchange.deadline = now + left
         if left <= 0:
             self.reject_request(exchange, 503, "too_late", route.name)
             return
@@ -484,9 +514,11 @@
 
     def sweep(self, now: float) -> None:
         """Close connections that stay idle or do not complete a request in time."""
-        limits = self.limits
+        limits, memory_is_short = self.limits, self.memory_is_short(now)
         for client in list(self.clients):
             client.end_if_stuck(now)
+            if memory_is_short:
+                client.end_if_slow(now)
             if client.busy or client.ending:
                 continue
             if client.message_started:
--- a/latchspoke/dataplane/exchange.py
+++ b/latchspoke/dataplane/exchange.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from latchspoke.core import Flow
@@ -41,8 +42,8 @@
     """A fully received request; the client of its flow (``latchspoke.dataplane.core.DataPlaneClient``)."""
 
     __slots__ = (
-        "attempt_id", "body", "connection", "flow", "head_memory", "header_pairs", "headers", "method",
-        "received_at", "stats", "url",
+        "attempt_id", "body", "connection", "deadline", "flow", "head_memory", "header_pairs", "headers",
+        "method", "received_at", "stats", "url",
     )  # fmt: skip
 
     def __init__(
@@ -70,6 +71,7 @@
         )
         self.received_at = received_at
         self.attempt_id = headers.get(b"x-attempt-id", b"")
+        self.deadline = math.inf  # after which the client doesn't wait any more
         self.flow: Flow | None = None
         self.head_memory: LargeBody | None = None  # counts a head of many fields while this exchange lasts
 
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -142,6 +142,7 @@
             BodyMemory(body_limit_bytes, self.clock, self.memory_pool),
             self.input_turns,
         )
+        self.downstream.memory_is_short = self.memory_is_short
         self.downstream.configuration_confirmed = (
             lambda: self.lease.proven_at > -math.inf and self.has_peers()
         )
@@ -389,6 +390,11 @@
         for message in self.rollout_reports.due_messages(self.published_state.committed.index, now):
             connection.send(message)
 
+    def memory_is_short(self, now: float) -> bool:
+        """Whether requests or responses wait for memory, or did a moment ago."""
+        memories = self.downstream.body_memory, self.upstream_pools.body_memory
+        return any(memory.is_short(now) for memory in memories)
+
     def count_sockets(self, change: int) -> None:
         """Connections of peers have opened or closed; they take sockets from clients and servers."""
         self.context.sockets.used += change
