Bound the fields of a server's answer

What could happen: answers with heads of 64 KB of short lines take some 3 MB each while they are under way, uncounted. Cause: the head's limit is in bytes; each field takes far more than its bytes. Change: an answer may have 4,096 fields; above that the attempt fails as for a head that is too long. Evidence: the new test got 200 for 6,000 fields before, 502 now; 4,000 fields are still passed on. The 3 MB are an estimate; no process was seen over its limit by this.

--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -41,6 +41,7 @@
 CONNECTION_CAP_FRACTION = 0.8  # of a server's connection limit, shared by all gateways
 MIN_CONNECTION_CAP = 3
 MAX_HEAD_BYTES = 64 * 1024  # of a response, and of its trailer
+MAX_ANSWER_FIELDS = 4096  # of a response, which take far more than their bytes
 USER_TIMEOUT_MS = 4000  # TCP_USER_TIMEOUT
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -118,6 +119,8 @@
         """Collect one header; trailers are ignored."""
         if self.headers_complete:
             return
+        if len(self.header_pairs) >= MAX_ANSWER_FIELDS:
+            raise FramingError(400, "oversize")
         name = name.lower()
         self.headers[name] = value
         if name not in HOP_BY_HOP_HEADERS:
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -521,3 +521,14 @@
     assert server.written.endswith(b"\r\n\r\nab") and b"X-Trailer" not in server.written
     exchange.answer()
     exchange.got(200)
+
+
+@pytest.mark.parametrize(("fields", "status"), [(4_000, 200), (6_000, 502)])
+def test_answer_of_very_many_fields_fails(fields: int, status: int, player: Player) -> None:
+    """64 KB of header lines took some 3 MB for each answer under way."""
+    exchange = Exchange(player, 1)
+    exchange.send()
+    server = exchange.server()
+    head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n"
+    exchange.receive(server, head + b"a: 1\r\n" * fields + b"\r\nab")
+    exchange.got(status)
