Count the framing of a chunked body only from the input after its head

The gateway in service and connections to servers read up to 256 KB at a time, so that a pipelined request behind a large one could be refused with 400. Change: the input that holds the head isn't counted.

--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -267,6 +267,7 @@
         self.lost = False
         self.message_count = 0
         self.rules_label = ""  # versions of the rules that its last request was decided by
+        self.input_bytes = 0  # of the input that is being parsed
         self.unparsed_bytes = 0  # received since a head, a piece of a body or a message was complete
         self.opened_at = context.clock.now()
         context.sockets.used += 1
@@ -297,7 +298,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.parts: list[bytes | bytearray] = []  # one at most: see ``join_part``
         self.received_bytes = 0
-        self.body_input_bytes = 0  # received since the head, with the framing of chunks
+        self.body_input_bytes = 0  # in inputs after that of the head, with the framing of chunks
         self.message_started = False
         self.headers_complete = False
 
@@ -311,13 +312,15 @@
 
     def on_headers_complete(self) -> None:
         self.headers_complete = True
-        self.received_bytes = self.unparsed_bytes = self.body_input_bytes = 0
+        self.received_bytes = self.unparsed_bytes = 0
+        self.body_input_bytes = -self.input_bytes  # this input isn't counted: it holds the head, too
 
     def parse(self, data: bytes, head_limit: int = MAX_HEAD_BYTES) -> None:
         """Feed the parser. Raises FramingError for a head, trailer or chunk header above ``head_limit``.
 
         Also for a body whose chunks are framed by far more bytes than they hold.
         """
+        self.input_bytes = len(data)
         self.unparsed_bytes += len(data)
         self.feed_parser(data)
         if self.unparsed_bytes > head_limit:
