Send nothing on a connection that opens just as its dial is given up

A dial that is given up (cancelled, or timed out) in the turn in which its connection opens still gets connection_made: the connection was taken into use, and the event loop closed it one turn later. The forward written there was lost, or the connection came among the idle ones and failed the next forward. Change: a connection whose dial was given up ends as it opens, and its forward counts as unreachable, so that it goes to another server. Alike for the gateway in service, its counter and discovery.

--- a/latchspoke/dataplane/upstream.py
+++ b/latchspoke/dataplane/upstream.py
@@ -83,7 +83,8 @@
         if raw_socket is not None:
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.forward is None:
+        if self.dial_called_off or self.forward is None:
+            self.finish(api.Code.UNREACHABLE)
             self.end("cancelled")
         else:
             self.pools.write(self)
--- a/latchspoke/net/counter.py
+++ b/latchspoke/net/counter.py
@@ -62,7 +62,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.last_response_at = self.context.clock.now()
-        if self.retired:
+        if self.retired or self.dial_called_off:
             self.end("reloaded")
         else:
             self.channel.connected(self)
--- a/latchspoke/net/discovery.py
+++ b/latchspoke/net/discovery.py
@@ -36,6 +36,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        if self.dial_called_off:
+            self.end("cancelled")
+            return
         line = f"GET /api/targets?stream=1&index={self.watch.generation} HTTP/1.1\r\nHost: discovery\r\n\r\n"
         assert self.transport is not None
         self.transport.write(line.encode())
--- a/latchspoke/net/http.py
+++ b/latchspoke/net/http.py
@@ -219,7 +219,7 @@
                 return
             if connection.transport is None:
                 connection.dial_failed("unreachable")
-            elif not connection.lost:
+            elif not connection.lost:  # see ``Connection.dial_called_off``
                 # Called off just as it opened: the event loop then closes it without telling.
                 connection.connection_lost(None)
 
@@ -292,6 +292,14 @@
     def on_dial_failed(self) -> None:
         """Called if the connection could not be opened."""
 
+    @property
+    def dial_called_off(self) -> bool:
+        """Whether this connection was given up before it opened; asked as it opens all the same.
+
+        The event loop closes it right after that, so that nothing may be sent on it.
+        """
+        return bool(self.close_code)
+
     # Callbacks of the parser.
 
     def reset_message_state(self) -> None:
--- a/latchspoke/net/target.py
+++ b/latchspoke/net/target.py
@@ -80,7 +80,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        if self.attempt is None:
+        if self.dial_called_off or self.attempt is None:
+            self.end_attempt(api.Code.UNREACHABLE)
             self.end("cancelled")
         else:
             self.target_group.write(self)
