Give client connections a module of their own

Change: ClientConnection and its constants move to client_connection.py; no change of behaviour, imports of three tests.

--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -14,8 +14,9 @@
 from latchspoke.configuration.routes import Table, compile_table
 from latchspoke.core import Attempt, DecisionLease
 from latchspoke.dataplane.body_memory import MEMORY_FRACTION, BodyMemory
+from latchspoke.dataplane.client_connection import ClientConnection
 from latchspoke.dataplane.core import DataPlaneCore
-from latchspoke.dataplane.downstream import ClientConnection, Downstream
+from latchspoke.dataplane.downstream import Downstream
 from latchspoke.dataplane.relay import Relay
 from latchspoke.dataplane.rollout_reports import RolloutReports
 from latchspoke.dataplane.subscription import FIRST_PROOF_DIVISOR, Source, Subscription, member_sources
--- a/tests/dataplane/player.py
+++ b/tests/dataplane/player.py
@@ -33,7 +33,7 @@
 from unittest.mock import patch
 
 from latchspoke.dataplane import node
-from latchspoke.dataplane.downstream import ClientConnection
+from latchspoke.dataplane.client_connection import ClientConnection
 from latchspoke.membership.protocol import Member, MembershipEvent
 from latchspoke.net import http
 from latchspoke.settings import parse_settings
--- a/tests/dataplane/test_body_memory.py
+++ b/tests/dataplane/test_body_memory.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from latchspoke.dataplane.downstream import HEADER_BYTES, ClientConnection
+from latchspoke.dataplane.client_connection import HEADER_BYTES, ClientConnection
 from latchspoke.dataplane.messages import Request
 from latchspoke.dataplane.upstream import ServerConnection
 from tests.dataplane.player import Player
--- a/tests/dataplane/test_slow_clients.py
+++ b/tests/dataplane/test_slow_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from latchspoke.dataplane.downstream import ClientConnection
+from latchspoke.dataplane.client_connection import ClientConnection
 from latchspoke.dataplane.pace import MIN_BYTES_PER_S
 from tests.dataplane.player import Player
 from tests.dataplane.test_body_memory import BODY, BODY_BYTES, Exchange, player, send_head
