Bound the members that the membership keeps, and what is told of each

What could happen: datagrams that name ever new members, six in each, were kept and told to all other processes. Cause: whoever reaches the internal port may tell of members, and their number and meta data had no bound. Change: 4,096 members (the plan has 1,021 machines), and 8 KiB of decoded meta data each; beyond that an update is dropped. No process was seen over its limit by this; false members within the bound are still believed.

--- a/latchspoke/membership/messages.py
+++ b/latchspoke/membership/messages.py
@@ -88,6 +88,11 @@
     return [*fields, member.host, member.port, member.meta] if state == ALIVE else fields
 
 
+def encode_meta(member: Member) -> bytes:
+    """The names and meta data of a member, as JSON."""
+    return msgspec.json.encode([member.name, member.instance_id, member.host, member.meta])
+
+
 def encoded_size(update: list[Any]) -> int:
     """Encoded size of an update in bytes, including the separating comma."""
     return len(msgspec.json.encode(update)) + 1
--- a/latchspoke/membership/parameters.py
+++ b/latchspoke/membership/parameters.py
@@ -30,6 +30,8 @@
     pause_threshold_s: float = 0.2  # a tick later than this means that the process was paused
     max_health_score: int = 4
     timeout_step_per_health_point: float = 0.25
+    max_members: int = 4096  # known at the same time
+    max_meta_bytes: int = 8192  # that the meta data of one member may take once decoded
     max_updates: int = 6  # on one datagram
     max_update_bytes: int = 900  # on one datagram
 
--- a/latchspoke/membership/protocol.py
+++ b/latchspoke/membership/protocol.py
@@ -17,6 +17,7 @@
 from latchspoke.membership import messages
 from latchspoke.membership.messages import Address, Member, MemberUpdate, Message
 from latchspoke.membership.parameters import ProtocolParameters
+from latchspoke.transport.json_size import decoded_size
 
 CHANGE_BATCH_WINDOW_S = 0.05  # remote changes within this time are forwarded together
 SAMPLING_THRESHOLD = 64  # from this many members on, random members are drawn without listing all of them
@@ -252,7 +253,11 @@
         elif (update.name, update.instance_id) in self.ended_instances:
             return
         elif update.state == messages.ALIVE:
-            self._apply_alive(update.to_member(), from_member_itself, in_full_view, now)
+            member = update.to_member()
+            if self._has_room(member):
+                self._apply_alive(member, from_member_itself, in_full_view, now)
+            else:
+                self.dropped += 1
         else:
             known = self.alive.get(update.name)
             if known is None or known.instance_id != update.instance_id:
@@ -268,6 +273,15 @@
                 else:
                     suspicion.incarnation = max(suspicion.incarnation, update.incarnation)
 
+    def _has_room(self, member: Member) -> bool:
+        """Whether a member, or what is new of one, may be kept: anybody can name ever new ones."""
+        known = self.alive.get(member.name)
+        if known is None and len(self.alive) >= self.parameters.max_members:
+            return False
+        if known is not None and known.meta == member.meta:
+            return True
+        return decoded_size(messages.encode_meta(member)) <= self.parameters.max_meta_bytes
+
     def _apply_alive(self, member: Member, from_member_itself: bool, in_full_view: bool, now: float) -> None:
         name = member.name
         known = self.alive.get(name)
