--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,7 +12,7 @@
 
 from evacuations import TROUBLE, Operator, Scene, require, run_scene  # noqa: E402
 
-FROZEN_S = 5.0
+FROZEN_S = 3.5
 SECOND_BEGIN_AFTER, FIRST_FINISH_AFTER, SECOND_FINISH_AFTER = (
     6.0,
     12.0,
--- a/review/rig_4/system.py
+++ b/review/rig_4/system.py
@@ -102,7 +102,8 @@
     ) -> None:
         """``zones``: region by zone; ``bounds``: those that differ from ``BOUNDS``."""
         self.record, self.zones = record, zones
-        self.net = random.SystemRandom().randrange(64, 120)
+        chance = random.SystemRandom()
+        self.net, self.base = chance.randrange(64, 120), 10 * chance.randrange(24)
         self.folder = Path(tempfile.mkdtemp(prefix="latchspoke-review-"))
         named = dict(bound.split("=") for bound in BOUNDS) | (bounds or {})
         self.bounds = [f"{name}={value}" for name, value in named.items()]
@@ -114,8 +115,8 @@
         self.watchers: list[asyncio.Task[None]] = []
 
     def address(self, kind: int, number: int) -> str:
-        """A loopback address."""
-        return f"127.{self.net}.{kind}.{number}"
+        """A loopback address of this run, so that two runs at once don't meet."""
+        return f"127.{self.net}.{self.base + kind}.{number}"
 
     def machine(self, role: str, number: int) -> Machine:
         """A machine of the core or the edge; zones get them in turn."""
