--- a/review/rig_4/system.py
+++ b/review/rig_4/system.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import tempfile
 import time
 import tomllib
@@ -102,8 +103,7 @@
     ) -> None:
         """``zones``: region by zone; ``bounds``: those that differ from ``BOUNDS``."""
         self.record, self.zones = record, zones
-        chance = random.SystemRandom()
-        self.net, self.base = chance.randrange(64, 120), 10 * chance.randrange(24)
+        self.net, self.base, self.claim = claim_addresses()
         self.folder = Path(tempfile.mkdtemp(prefix="latchspoke-review-"))
         named = dict(bound.split("=") for bound in BOUNDS) | (bounds or {})
         self.bounds = [f"{name}={value}" for name, value in named.items()]
@@ -206,6 +206,7 @@
         for machine in machines:
             if machine.process is not None:
                 await machine.process.wait()
+        self.claim.close()
         if "KEEP" not in os.environ:
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -242,6 +243,20 @@
         return 0, b""
 
 
+def claim_addresses() -> tuple[int, int, socket.socket]:
+    """Second and third part of loopback addresses that no other run has, and the socket that holds them."""
+    chance = random.SystemRandom()
+    while True:
+        net, base = chance.randrange(64, 120), 10 * chance.randrange(24)
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{net}.{base + 9}.1", CONTROL))
+        except OSError:
+            claim.close()
+        else:
+            return net, base, claim
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
     """First line, headers with lower-case names, body. Raises BrokenError."""
     try:
