--- a/review/rig_4/parties.py
+++ b/review/rig_4/parties.py
@@ -46,6 +46,7 @@
     version: str = "v1"
     state: str = "available"
     cold_until: float = 0.0  # by the record's clock
+    phase_s: float = 0.0  # between its first beat and the second, beside the usual time
     ident: str = field(default_factory=lambda: f"i-{secrets.token_hex(4)}")
     running: int = 0
     numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
@@ -53,9 +54,11 @@
     async def serve(self) -> None:
         """Until it is cancelled."""
         async with await asyncio.start_server(self.connected, *self.address):
+            await self.beat()
+            await asyncio.sleep(self.phase_s)
             while True:
-                await self.beat()
                 await asyncio.sleep(BEAT_S)
+                await self.beat()
 
     async def beat(self) -> bool:
         """Whether a control machine has acknowledged it."""
