Keep earlier configurations within a bound of their memory, not of their number

Cause: each publisher of the configuration kept the last 30 versions decoded, as bases of patches for followers that had missed some, whatever their size (24 to 29 MB each at that size).

Change: earlier versions are kept within 8% of the memory, counted by what each doesn't share with the next one, so that small changes of a large configuration are still sent as patches; the encoded updates of reconnecting followers have a bound too. Three copies of a fixture become one.

--- a/latchspoke/distribution/published_state.py
+++ b/latchspoke/distribution/published_state.py
@@ -14,23 +14,18 @@
 
 import msgspec
 
+from latchspoke.distribution.document_updates import (
+    COMPRESSION_THRESHOLD_BYTES,
+    DocumentUpdates,
+    decode_field,
+)
+from latchspoke.distribution.past_documents import Document
 from latchspoke.registry.registry import Entry, Registry
 from latchspoke.version_rollouts.records import RolloutRecord, decode_records, encode_records
 
 Message = dict[str, Any]
-Document = dict[str, Any]
 
-COMPRESSION_THRESHOLD_BYTES = 2048
 FAST_COMPRESSION_LEVEL = 1  # of zlib, where time matters more than size
-MAX_PAST_DOCUMENTS = 30  # as bases of patches for reconnecting subscribers
-
-
-def encode_field(name: str, value: Document) -> Message:
-    """A field of a message, compressed if it is large."""
-    data = msgspec.json.encode(value)
-    if len(data) < COMPRESSION_THRESHOLD_BYTES:
-        return {name: value}
-    return {f"{name}z": b64encode(zlib.compress(data)).decode()}
 
 
 def encode_entries(entries: list[Document], compress: bool) -> Message:
@@ -51,18 +46,6 @@
         raise ValueError(f"servers can't be read: {error}") from None
 
 
-def decode_field(name: str, message: Message) -> Document | None:
-    """The field from ``encode_field``, or None if it is missing. Raises ValueError."""
-    if name in message:
-        return message[name]  # type: ignore[no-any-return]
-    if f"{name}z" not in message:
-        return None
-    try:
-        return msgspec.json.decode(zlib.decompress(b64decode(message[f"{name}z"])), type=dict[str, Any])
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise ValueError(f"{name} can't be read: {error}") from None
-
-
 class CommittedState(msgspec.Struct):
     """The operator's orders as of an index of the replicated log (0: none yet)."""
 
@@ -97,19 +80,12 @@
     """The newest state and its subscribers."""
 
     registry: Registry
+    document_updates: DocumentUpdates = msgspec.field(default_factory=DocumentUpdates)
+    # Returns the pool versions by service, for routes with affinity.
+    pool_versions: Callable[[PublishedState], dict[str, str]] | None = None
     committed: CommittedState = msgspec.field(default_factory=CommittedState)
     sequence_number: int = 0
     subscribers: list[Subscriber] = msgspec.field(default_factory=list)
-    # Returns the patch between two documents, or None if the document is shorter.
-    diff_documents: Callable[[Document, Document], Document | None] | None = None
-    # Returns the pool versions by service, for routes with affinity.
-    pool_versions: Callable[[PublishedState], dict[str, str]] | None = None
-    # By version, the newest last.
-    past_documents: dict[int, Document] = msgspec.field(default_factory=dict)
-    # Encoded updates to the current document by the subscriber's version (0: unknown version), shared by
-    # subscribers that reconnect together.
-    document_updates: dict[int, Message] = msgspec.field(default_factory=dict)
-    document_updates_version: int = 0
 
     def add_subscriber(self, subscriber: Subscriber, now: float) -> None:
         """Add a subscriber, and send it a snapshot if there is committed state."""
@@ -136,29 +112,11 @@
         subscriber.send(snapshot | self.document_update(subscriber.version) | self.pool_versions_field())
 
     def document_update(self, version: int) -> Message:
-        """The update for a subscriber with this version: nothing, a patch or the document."""
+        """The fields of the update for a subscriber with this version: nothing, a patch or the document."""
         committed = self.committed
         if committed.document is None:
             return {"doc": None}
-        if version == committed.version:
-            return {}
-        if committed.version != self.document_updates_version:
-            self.document_updates, self.document_updates_version = {}, committed.version
-        base_version = version if version in self.past_documents else 0
-        if base_version not in self.document_updates:
-            self.document_updates[base_version] = self.encode_document_update(
-                base_version, committed.document
-            )
-        return self.document_updates[base_version]
-
-    def encode_document_update(self, version: int, document: Document) -> Message:
-        """The patch from this version, or the document if that is shorter or the version is not kept."""
-        old = self.past_documents.get(version)
-        if old is not None and self.diff_documents is not None:
-            patch = self.diff_documents(old, document)
-            if patch is not None:
-                return encode_field("patch", patch) | {"from": version}
-        return encode_field("doc", document)
+        return self.document_updates.update_from(version, committed.version, committed.document)
 
     def pool_versions_field(self) -> dict[str, dict[str, str]]:
         """The message field with the pool versions, if any route needs them."""
@@ -201,13 +159,10 @@
             "index": new.index,
             "version": new.version,
         } | new.order_fields()
-        if new.document is not None:
-            self.past_documents.pop(new.version, None)
-            self.past_documents[new.version] = new.document
-            if len(self.past_documents) > MAX_PAST_DOCUMENTS:
-                del self.past_documents[next(iter(self.past_documents))]
         if self.subscribers and (new.version != old.version or old.document is None):
             change |= self.document_update(old.version if old.document is not None else 0)
+        if new.document is not None:
+            self.document_updates.past.replace_current(new.version, new.document)
         self.broadcast(change)
         for subscriber in self.subscribers:
             if not subscriber.has_snapshot:
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from latchspoke.configuration.patch import diff
+from latchspoke.distribution.document_updates import DocumentUpdates
 from latchspoke.distribution.published_state import PublishedState
 from latchspoke.distribution.publisher import Publisher
 from latchspoke.membership.messages import Member
@@ -43,6 +44,7 @@
 DECODED_MEMORY_FRACTION = 0.3  # for one configuration or message once it is decoded
 PEER_DESCRIPTOR_FRACTION = 0.25  # of the descriptors, for connections to the internal port
 MIN_PEER_CONNECTIONS = 32
+DOCUMENTS_MEMORY_FRACTION = 0.08  # for earlier versions of the configuration, and as much for updates
 CALL_MEMORY_FRACTION = 0.15  # for the bodies of calls, and for their answers
 
 
@@ -83,8 +85,11 @@
         self.registry = Registry(s.heartbeat_interval_s, int(memory_bytes * REGISTRY_MEMORY_FRACTION))
         self.published_state = PublishedState(
             self.registry,
-            diff_documents=diff,  # type: ignore[arg-type]
-            pool_versions=PoolVersions(),
+            DocumentUpdates(
+                diff,  # type: ignore[arg-type]
+                int(memory_bytes * DOCUMENTS_MEMORY_FRACTION),
+            ),
+            PoolVersions(),
         )
         self.publisher = Publisher(self.published_state, self.clock, self.handle_proof_request)
         self.listeners: list[asyncio.Server] = []
--- a/tests/compatibility/test_recorded_exchanges.py
+++ b/tests/compatibility/test_recorded_exchanges.py
@@ -20,6 +20,7 @@
 from barleyhub.line.quota import Account
 from latchspoke.configuration.patch import apply_patch, diff
 from latchspoke.dataplane.usage_reports import UsageReports
+from latchspoke.distribution.document_updates import DocumentUpdates
 from latchspoke.distribution.published_state import CommittedState, Follower, PublishedState, Subscriber
 from latchspoke.membership.compression import PRESET_DICTIONARY, compress_updates, decompress_updates
 from latchspoke.membership.messages import Member, parse_message
@@ -370,9 +371,7 @@
 
     def __init__(self) -> None:
         self.sent: Texts = []
-        self.state = PublishedState(
-            Registry(1.0), diff_documents=cast(Any, diff), pool_versions=pool_versions
-        )
+        self.state = PublishedState(Registry(1.0), DocumentUpdates(cast(Any, diff)), pool_versions)
 
     def subscribe(self, name: str, now: float, **fields: Any) -> None:
         subscriber = Subscriber(name, lambda message: self.sent.append((name, json_text(message))), **fields)
--- a/tests/configstore/test_config_state.py
+++ b/tests/configstore/test_config_state.py
@@ -104,9 +104,7 @@
     again.load(machine.dump())
     assert again == machine
     assert kinds(machine, {"do": "restore", "zone": "a"}) == [TAKEN], "by an older release"
-    assert {machine.last_call_index("a", is_begin) for is_begin in (True, False)} == {
-        machine.zone_index("a")
-    }
+    assert {machine.last_call_index("a", is_begin) for is_begin in (True, False)} == {machine.zone_index("a")}
 
 
 def test_snapshot_holds_the_complete_state_within_the_history_limit(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/distribution/test_published_state.py
+++ b/tests/distribution/test_published_state.py
@@ -10,6 +10,8 @@
 import pytest
 
 from latchspoke.configuration.patch import apply_patch, diff
+from latchspoke.distribution.document_updates import DocumentUpdates, update_size
+from latchspoke.distribution.past_documents import PastDocuments, unshared_size
 from latchspoke.distribution.published_state import (
     CommittedState,
     Follower,
@@ -24,7 +26,7 @@
 
 
 def make_state() -> PublishedState:
-    return PublishedState(Registry(1.5), diff_documents=diff)  # type: ignore[arg-type]
+    return PublishedState(Registry(1.5), DocumentUpdates(diff))  # type: ignore[arg-type]
 
 
 def make_follower() -> Follower:
@@ -272,12 +274,12 @@
 def test_reconnecting_subscribers_share_encoded_updates() -> None:
     encoded_versions: list[int] = []
 
-    class CountingState(PublishedState):
-        def encode_document_update(self, version: int, doc: Any) -> Message:
-            encoded_versions.append(version)
-            return super().encode_document_update(version, doc)
+    class CountingUpdates(DocumentUpdates):
+        def encode(self, base_version: int, base: Any, document: Any) -> Message:
+            encoded_versions.append(base_version)
+            return super().encode(base_version, base, document)
 
-    source = CountingState(Registry(1.5), diff_documents=diff)  # type: ignore[arg-type]
+    source = PublishedState(Registry(1.5), CountingUpdates(diff))  # type: ignore[arg-type]
     source.update_committed(make_committed(1, 1), 0.0)
     source.update_committed(make_committed(2, 2), 0.0)
     for version in (0, 0, 1, 1, 1, 77, 2):
@@ -285,3 +287,59 @@
     assert encoded_versions == [0, 1], "an unknown version gets the document, the newest nothing"
     source.update_committed(make_committed(3, 3), 0.0)
     assert encoded_versions == [0, 1, 2], "the update for the subscribers"
+
+
+def make_large_document(version: int, tenants: int) -> Any:
+    """A document that shares nothing with another version."""
+    document = sample_document() | {"version": f"{version:08x}", "baseVersion": f"{version - 1:08x}"}
+    document["tenants"] = [
+        {"name": f"t{n}", "apiKeys": [f"k{n}"], "priority": 1, "ratePerS": version, "burstSize": 9}
+        for n in range(tenants)
+    ]
+    return document
+
+
+def test_past_documents_are_bounded_by_their_memory() -> None:
+    """Fault (review/6): 30 whole documents were kept, and control machines went over their memory."""
+    document_bytes = unshared_size(make_large_document(1, 2000), {})
+    source, gateway = make_state(), make_follower()
+    source.document_updates = DocumentUpdates(diff, int(2.5 * document_bytes))  # type: ignore[arg-type]
+    sent = subscribe(source)
+    for version in range(1, 12):
+        source.update_committed(CommittedState(version, version, make_large_document(version, 2000)), 0.0)
+    past = source.document_updates.past
+    assert list(past.past) == [9, 10] and past.unshared_bytes <= past.memory_bytes
+    source.document_updates.past = past = PastDocuments(document_bytes // 2)
+    past.replace_current(11, source.committed.document)  # type: ignore[arg-type]
+    source.update_committed(CommittedState(12, 12, make_large_document(12, 2000)), 0.0)
+    assert not past.past, "a single one is larger than all may be"
+    assert "patchz" in sent[-1] or "docz" in sent[-1]
+    for message in sent:
+        gateway.apply(message, 0.0)
+    assert gateway.published_state.committed == source.committed
+
+
+def test_past_documents_made_by_patches_count_what_they_do_not_share() -> None:
+    """Many small changes of a large configuration must still reach those that missed some as patches."""
+    document = make_large_document(1, 2000)
+    past = PastDocuments(unshared_size(document, {}) // 2)
+    for version in range(1, 50):
+        past.replace_current(version, document)
+        change = {"version": f"{version + 1:08x}", "upsert": {"tenants": [document["tenants"][version]]}}
+        document = apply_patch(document, change)
+    assert len(past.past) == 30 and past.get(48) is not None and past.get(2) is None
+
+
+def test_updates_for_many_versions_are_bounded_by_their_memory() -> None:
+    """Each subscriber's version had its own encoded update, up to 31 of them."""
+    documents = {version: make_large_document(version, 500) for version in range(1, 12)}
+    updates = DocumentUpdates(diff, 10**9)  # type: ignore[arg-type]
+    for version, document in documents.items():
+        updates.past.replace_current(version, document)
+    sizes = [update_size(updates.update_from(version, 11, documents[11])) for version in range(1, 11)]
+    assert updates.held_bytes == sum(sizes)
+    updates.memory_bytes = 3 * max(sizes)
+    updates.clear()
+    for version in range(1, 11):
+        updates.update_from(version, 11, documents[11])
+        assert updates.held_bytes <= updates.memory_bytes
--- a/tests/lab/test_hostile_clients.py
+++ b/tests/lab/test_hostile_clients.py
@@ -9,14 +9,13 @@
 import dataclasses
 import json
 import random
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from latchspoke.lab.soak.conditions import Conditions
 from latchspoke.lab.soak.deployments import SMALL, Role
-from latchspoke.lab.soak.fleet import READINESS_PORT, Machine, claim_net, open_descriptors
+from latchspoke.lab.soak.fleet import READINESS_PORT, Machine, open_descriptors
 from latchspoke.lab.soak.hostile_clients import KINDS, HostileClients, HostileKind
 from latchspoke.lab.soak.parties import call
 from latchspoke.lab.soak.run import Plan, Run
@@ -50,13 +49,6 @@
     return LARGE_MESSAGE_CROWD if kind.name.startswith(LARGE_MESSAGES) else CROWD
 
 
-@pytest.fixture
-def net() -> Iterator[int]:
-    number, claim = claim_net()
-    with claim:
-        yield number
-
-
 async def most_descriptors(machines: list[Machine]) -> int:
     """The most descriptors that any of these processes has open, until cancelled."""
     most = 0
--- a/tests/lab/test_soak_troubles.py
+++ b/tests/lab/test_soak_troubles.py
@@ -11,13 +11,12 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from latchspoke.lab.soak.deployments import SMALL
-from latchspoke.lab.soak.fleet import READINESS_PORT, Machine, claim_net
+from latchspoke.lab.soak.fleet import READINESS_PORT, Machine
 from latchspoke.lab.soak.parties import call
 from latchspoke.lab.soak.power_loss import LOG_FILE, committed_bytes, lose_power
 from latchspoke.lab.soak.processor import ProcessorQuota, processor_time_s
@@ -28,13 +27,6 @@
 EFFECT_TIMEOUT_S = 15.0
 
 
-@pytest.fixture
-def net() -> Iterator[int]:
-    number, claim = claim_net()
-    with claim:
-        yield number
-
-
 async def until_ready(machine: Machine, status: int) -> None:
     """Wait until a gateway answers ``GET /readiness`` so. Raises TimeoutError."""
     async with asyncio.timeout(EFFECT_TIMEOUT_S):
--- a/tests/lab/test_strange_machines.py
+++ b/tests/lab/test_strange_machines.py
@@ -14,14 +14,14 @@
 import subprocess
 import sys
 import time
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import pytest
 
 from latchspoke.lab.soak.conditions import Conditions, LogSink
 from latchspoke.lab.soak.deployments import SMALL, Role
-from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, ROOT, Machine, claim_net
+from latchspoke.lab.soak.fleet import FRONT_PORT, READINESS_PORT, ROOT, Machine
 from latchspoke.lab.soak.hostile_callers import HostileCallers
 from latchspoke.lab.soak.parties import KEYS, call
 from latchspoke.lab.soak.record import Record
@@ -42,13 +42,6 @@
     )  # fmt: skip
 
 
-@pytest.fixture
-def net() -> Iterator[int]:
-    number, claim = claim_net()
-    with claim:
-        yield number
-
-
 @contextlib.asynccontextmanager
 async def system(
     folder: Path, net: int, conditions: Conditions, control: int = 1, gateways: int = 1,
