Decode and replicate fewer copies of large orders

Cause: each copy was decoded at its receiver, where the decoded one was held while it waited for a majority, sent to the leader up to three times, decoded there, replicated and applied, though all but one could not be taken any more.

Change: a large order on a base that is older than what a majority confirms to be in force gets 412 undecoded. A command holds the body encoded. A large command is sent again later by the time that its size may take. A received message is no longer held twice while it is decoded.

Evidence: three new tests failed before.

--- a/latchspoke/configstore/store_node.py
+++ b/latchspoke/configstore/store_node.py
@@ -53,6 +53,7 @@
     non_voter_interval=0.3,
 )
 RETRY_INTERVAL_S = 0.3  # until an unanswered request is sent again
+COMMAND_BYTES_PER_S = 4_000_000  # at least: a large command is sent again that much later
 REFUSED_BACKOFF_S = 0.05  # until a request rejected by a non-leader is sent again
 JOIN_INTERVAL_S = 0.3  # between join requests of a process that is not a member
 LEADER_LOST_AFTER_S = 1.2  # then a member asks to join again: it may have been removed without knowing
@@ -77,6 +78,14 @@
     sent_at: float = -math.inf
     min_applied_index: int = 0  # applied index required before it is sent
 
+    @property
+    def retry_at(self) -> float:
+        """When it is sent again, if it is not answered before."""
+        if not self.sent_to:
+            return self.sent_at + REFUSED_BACKOFF_S
+        encoded_bytes = sum(len(memoryview(v)) for v in self.command.values() if isinstance(v, msgspec.Raw))
+        return self.sent_at + RETRY_INTERVAL_S + encoded_bytes / COMMAND_BYTES_PER_S
+
 
 class ReadIndexBatch(msgspec.Struct):
     """A read-index request to the leader, for a batch of reads."""
@@ -197,11 +206,7 @@
         times += [call.deadline for call in self.pending_commands.values()]
         times += self.read_deadlines.values()
         if self.leader:
-            times += [
-                c.sent_at + (RETRY_INTERVAL_S if c.sent_to else REFUSED_BACKOFF_S)
-                for c in self.pending_commands.values()
-                if self.can_send(c)
-            ]
+            times += [call.retry_at for call in self.pending_commands.values() if self.can_send(call)]
             if self.read_batch is not None:
                 times.append(self.read_batch.sent_at + RETRY_INTERVAL_S)
             elif self.queued_reads and self.is_member:
@@ -417,9 +422,7 @@
             return
         self.leader_known_at = now
         for request_id, call in list(self.pending_commands.items()):
-            if self.can_send(call) and now >= call.sent_at + (
-                RETRY_INTERVAL_S if call.sent_to else REFUSED_BACKOFF_S
-            ):
+            if self.can_send(call) and now >= call.retry_at:
                 call.sent_to, call.sent_at = leader, now
                 command = call.command
                 if command.get("do") in ("evacuate", "restore") and "after" not in command:
--- a/latchspoke/controlplane/calls.py
+++ b/latchspoke/controlplane/calls.py
@@ -45,12 +45,36 @@
     return blake2b(body, digest_size=16).hexdigest()
 
 
+class OrderVersions(msgspec.Struct, frozen=True):
+    """The version of a configuration or a patch, and the version that it is built on."""
+
+    version: int
+    base_version: int
+
+
+class OrderHead(msgspec.Struct, frozen=True):
+    """The fields of a configuration or a patch that can be read without decoding the rest."""
+
+    version: Any = ""
+    baseVersion: Any = None  # noqa: N815 - a field of the protocol
+
+
+def parse_order_versions(body: bytes) -> OrderVersions | None:
+    """The versions in the body of an order; None if it is malformed."""
+    try:
+        head: OrderHead = msgspec.json.decode(body, type=OrderHead)
+        return OrderVersions(parse_version(head.version), parse_base_version(head.baseVersion))
+    except (msgspec.MsgspecError, TypeError, ValueError):
+        return None
+
+
 def parse_configuration(
     body: bytes, current: dict[str, Any] | None, version: int
 ) -> tuple[dict[str, Any], list[str]]:
     """The command for the replicated store, and the faults of the resulting configuration.
 
-    A patch is checked only if its base is the current version here; otherwise the store decides. Raises
+    A patch is checked only if its base is the current version here; otherwise the store decides. The command
+    holds the body encoded, as it waits for a majority, and a decoded one takes several times its size. Raises
     InvalidRequestError if the body is malformed.
     """
     try:
@@ -68,7 +92,7 @@
         raise InvalidRequestError(str(error)) from None
     command: dict[str, Any] = {"version": new_version, "base": base_version, "digest": digest_of(body)}
     if "upsert" in request or "remove" in request:
-        command |= {"do": "modify", "patch": request}
+        command |= {"do": "modify", "patch": msgspec.Raw(body)}
         if base_version != version or current is None:
             return command, []
         try:
@@ -76,7 +100,7 @@
         except ValueError as error:
             return command, [str(error)]
         return command, [str(fault) for fault in check(document)]
-    command |= {"do": "replace", "doc": request}
+    command |= {"do": "replace", "doc": msgspec.Raw(body)}
     return command, [str(fault) for fault in check(request)]
 
 
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -11,7 +11,7 @@
 
 from latchspoke import process_run
 from latchspoke.agent.raft_store import RaftStoreError
-from latchspoke.configstore.config_state import UNCHECKED, Verdict
+from latchspoke.configstore.config_state import CONFLICT, UNCHECKED, Verdict
 from latchspoke.configstore.config_state import ConfigState as StoredState
 from latchspoke.configstore.replica import Replica
 from latchspoke.configstore.voters import DEFAULT_CATCH_UP_S, Location
@@ -24,6 +24,7 @@
     heartbeat_target,
     parse_call,
     parse_configuration,
+    parse_order_versions,
     select_gateways,
 )
 from latchspoke.controlplane.evacuation_orders import EvacuationController
@@ -544,16 +545,26 @@
         async with self.large_order:
             if caller.gone:  # it has sent the order again, and would have it decoded twice
                 return 503, {"errorText": "the caller has left"}
-            if await self.is_in_force(digest_of(body)):
-                return 200, {"version": f"{self.replica.state.version:08x}"}
-            return await self.change_configuration(body)
+            early_response = await self.respond_early(body)
+            return early_response or await self.change_configuration(body)
 
-    async def is_in_force(self, digest: str) -> bool:
-        """Whether an order was taken before: a large one takes longer than its callers wait for an answer."""
-        return (
-            self.replica.state.has_taken(digest)
-            and await self.replica.confirm_read(STORE_TIMEOUT_S) is not None
-        )
+    async def respond_early(self, body: bytes) -> Response | None:
+        """The response to an order that can't change anything, without decoding and replicating it.
+
+        It was taken before, as a large one takes longer than its callers wait for an answer; or a version
+        after its base is in force, and versions only increase. None for all others.
+        """
+        versions, digest = parse_order_versions(body), digest_of(body)
+        if versions is None or await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
+            return None
+        stored = self.replica.state
+        if stored.has_taken(digest):
+            return 200, {"version": f"{stored.version:08x}"}
+        if versions.base_version >= stored.version or stored.version_forgotten(versions.version):
+            return None
+        log("order", what="configuration", verdict=CONFLICT, why="its base is older", index=stored.index)
+        reason = f"built on version {versions.base_version}, current is {stored.version}"
+        return 412, {"errorText": reason, "version": f"{stored.version:08x}"}
 
     async def change_configuration(self, body: bytes) -> Response:
         """Check a full configuration or a patch, and submit it."""
--- a/latchspoke/transport/netstring.py
+++ b/latchspoke/transport/netstring.py
@@ -57,12 +57,14 @@
             if self.buffer[end] != 0x2C:
                 raise FrameError("frame does not end with a comma")
             text = memoryview(self.buffer)[colon + 1 : end].tobytes()
+            start = end + 1
+            if start == len(self.buffer):  # so that a large message is not held twice while it is decoded
+                self.buffer, start = bytearray(), 0
             if len(text) > MIN_ESTIMATED_BYTES and decoded_size(text) > self.max_decoded_bytes:
                 raise FrameError("message takes too much memory")
             try:
                 messages.append(DECODE(text))
             except msgspec.DecodeError as error:
                 raise FrameError(f"frame is not valid JSON: {error}") from None
-            start = end + 1
         del self.buffer[:start]
         return messages
--- a/tests/configstore/test_store_node.py
+++ b/tests/configstore/test_store_node.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from latchspoke.configstore import simulation
 from latchspoke.configstore.config_state import CONFLICT, REPEATED, TAKEN, UNKNOWN
 from latchspoke.configstore.fault_schedules import Schedule
+from latchspoke.configstore.messages import CommandRequest, Message
 from latchspoke.configstore.mutations import MUTATIONS, first_detecting_seed
 from latchspoke.configstore.scenarios import SCENARIOS
 from latchspoke.configstore.simulation import Cluster, modify_command, replace_command
@@ -65,6 +67,28 @@
     assert cluster.submit_and_wait(other, modify_command(2, 1, a=1)).kind == TAKEN
 
 
+def test_large_command_is_not_sent_again_while_it_may_be_under_way(cluster: Cluster) -> None:
+    """A configuration of the planned size was sent to the leader three times, and decoded each time."""
+    name, leader = follower(cluster), cluster.leader().name
+    sent: list[float] = []
+    send = cluster.send
+
+    def record(source: str, target: str, message: Message) -> None:
+        if isinstance(message, CommandRequest):
+            sent.append(cluster.now)
+        else:
+            send(source, target, message)
+
+    cluster.send = record  # type: ignore[method-assign]
+    small, large = (
+        replace_command(1, 0) | {"doc": msgspec.Raw(b" " * size + b"{}")} for size in (0, 4 << 20)
+    )
+    for command, copies in ((small, 3), (large, 1)):
+        sent.clear()
+        assert cluster.submit_and_wait(name, command, limit=0.9).kind == UNKNOWN
+        assert len(sent) == copies and cluster.leader().name == leader
+
+
 def test_simultaneous_start_over_slow_links_does_not_split_the_vote(monkeypatch: pytest.MonkeyPatch) -> None:
     """Candidates that start within one network delay of each other would split the vote."""
     monkeypatch.setattr(simulation, "LINK_DELAY_S", 0.014)  # minimum; the maximum is twice that
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import msgspec
 import pytest
 
 from latchspoke.configstore.config_state import (
@@ -64,6 +65,7 @@
             index=index, version=version, document=doc, evacuated=self.orders.evacuated,
             zones=self.orders.zones, zone_index=self.orders.zone_index, rollouts=self.rollouts,
             evacuation_count=self.orders.evacuation_count, last_call_index=self.orders.last_call_index,
+            version_forgotten=lambda version: False,
             has_taken=lambda digest: digest in [command.get("digest") for command in self.commands],
         )  # fmt: skip
 
@@ -639,3 +641,37 @@
         return [status for status, _ in await asyncio.gather(*calls)]
 
     assert harness.run(send_all()) == [200, 503, 200]
+
+
+def test_large_order_on_an_older_base_is_refused_without_being_decoded(
+    harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of several operators' orders of the planned size, each was decoded and replicated, and one taken."""
+    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    harness.replica.commit(7, sample_document())
+    decoded: list[bytes] = []
+    parse_command = harness.node.parse_command
+
+    def record(body: bytes) -> Any:
+        decoded.append(body)
+        return parse_command(body)
+
+    monkeypatch.setattr(harness.node, "parse_command", record)
+    order = sample_document() | {"version": "00000009", "baseVersion": "00000005"}
+    assert harness.call("configuration.replace", order)[0] == 412
+    assert (decoded, harness.replica.commands) == ([], [])
+    harness.replica.has_quorum = False
+    harness.call("configuration.replace", order)
+    assert len(harness.replica.commands) == 1, "not refused from memory alone"
+    harness.replica.has_quorum = True
+    for base in ("00000007", "00000008"):
+        assert harness.call("configuration.replace", order | {"baseVersion": base})[0] == 200
+    assert len(harness.replica.commands) == 3, "the replicated log decides on the others"
+
+
+def test_submitted_configuration_is_not_held_decoded(harness: NodeHarness) -> None:
+    """While it waited for a majority, a configuration took four times its size, beside the one in force."""
+    order = sample_document()
+    assert harness.call("configuration.replace", order)[0] == 200
+    body = harness.replica.commands[-1]["doc"]
+    assert isinstance(body, msgspec.Raw) and msgspec.json.decode(body) == order
