Bound in bytes what waits for other processes, and what they do not read

Change: waiting messages are kept encoded, within bounds of number and bytes. All connections between processes share a budget of 20% of the memory; without room the slowest are closed.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -100,8 +100,9 @@
         self.relays = GatewayRelays(self.own_name, self.rng)
         topology = RegionTopology(self.own_name, s.region, self.rng)
         self.peers = Peers(
-            self.own_name, self.peer_connected, self.handle_peer_reply, self.relays, topology, self.clock.now
-        )
+            self.own_name, self.peer_connected, self.handle_peer_reply, self.relays, topology, self.clock.now,
+            self.output_budget,
+        )  # fmt: skip
         if s.data_directory is None:
             raise NotStartableError("dataDirectory is missing: a control machine needs a disk")
         try:
--- a/latchspoke/controlplane/peers.py
+++ b/latchspoke/controlplane/peers.py
@@ -4,19 +4,20 @@
 
 import asyncio
 import math
-from collections import deque
 from collections.abc import Callable, Mapping
 
 from latchspoke.configstore.voters import Location
 from latchspoke.controlplane.fanout import FORWARD_FIELD, RegionTopology
 from latchspoke.controlplane.relays import GatewayRelays
 from latchspoke.transport.connection import Message, MessageConnection, dial
+from latchspoke.transport.frame_queue import FrameQueue
 from latchspoke.transport.log import log
+from latchspoke.transport.output_budget import OutputBudget
 
 DIAL_TIMEOUT_S = 0.4
 RECONNECT_DELAY_S = (0.05, 0.5)  # initial and maximum
-MAX_QUEUED_MESSAGES = 500
-MAX_PENDING_MESSAGES = 20  # while a peer is not connected; the oldest are dropped
+MAX_PENDING_MESSAGES = 20  # while a peer is not connected
+MAX_PENDING_BYTES = 2 * 1024 * 1024
 UNANSWERED_TIMEOUT_S = 0.35  # without a message of the peer; two Raft heartbeats
 
 
@@ -28,7 +29,7 @@
         host, _, port = name.rpartition(":")
         self.address = host, int(port)
         self.connection: MessageConnection | None = None
-        self.pending: deque[Message] = deque(maxlen=MAX_PENDING_MESSAGES)
+        self.pending = FrameQueue(MAX_PENDING_MESSAGES, MAX_PENDING_BYTES)
         self.unanswered_since: float | None = None  # when the first unanswered message was sent
         self.last_received_at = -math.inf  # directly, on any connection of the peer
         self.running = True
@@ -68,7 +69,9 @@
     async def connect_once(self) -> bool:
         """Connect and wait until the connection has closed; returns whether it was open."""
         closed = asyncio.Event()
-        connection = MessageConnection(self.peers.on_message, lambda connection, reason: closed.set())
+        connection = MessageConnection(
+            self.peers.on_message, lambda connection, reason: closed.set(), output=self.peers.output_budget
+        )
         if not await dial(connection, *self.address, DIAL_TIMEOUT_S):
             return False
         try:
@@ -76,7 +79,7 @@
             connection.send({"k": "peer", "name": self.peers.own_name, "fans": 1})
             self.peers.on_connected(connection)
             while self.pending:
-                connection.send(self.pending.popleft())
+                connection.write(self.pending.pop())
             self.connection = connection
             await closed.wait()
         finally:
@@ -106,7 +109,9 @@
         relays: GatewayRelays,
         topology: RegionTopology,
         clock: Callable[[], float],
+        output_budget: OutputBudget | None = None,
     ) -> None:
+        self.output_budget = output_budget
         self.own_name, self.on_connected, self.on_message = own_name, on_connected, on_message
         self.relays, self.topology, self.clock = relays, topology, clock
         self.links: dict[str, PeerLink] = {}
--- a/latchspoke/dataplane/relay.py
+++ b/latchspoke/dataplane/relay.py
@@ -11,12 +11,14 @@
 
 from latchspoke.net.clock import Clock
 from latchspoke.transport.connection import Message, MessageConnection, dial
+from latchspoke.transport.frame_queue import FrameQueue
 
 DIAL_TIMEOUT_S = 0.4
 IDLE_TIMEOUT_S = 5.0
 RETRY_DELAY_S = 1.0  # after a failed connection; messages for that node are dropped meanwhile
 MAX_DIALING = 32  # connections being opened
 MAX_QUEUED_MESSAGES = 32  # per connection being opened
+MAX_QUEUED_BYTES = 512 * 1024
 
 
 class Relay:
@@ -28,7 +30,7 @@
         self.connections: dict[str, MessageConnection] = {}
         self.last_used_at: dict[str, float] = {}
         self.failed_at: dict[str, float] = {}
-        self.queued: dict[str, list[Message]] = {}  # messages by target, while it is being dialed
+        self.queued: dict[str, FrameQueue] = {}  # messages by target, while it is being dialed
         self.tasks: set[asyncio.Task[None]] = set()
 
     def handle_message(self, connection: MessageConnection, message: Message) -> None:
@@ -44,13 +46,13 @@
         if target_connection is not None and not target_connection.closed:
             target_connection.send(relayed)
         elif target in self.queued:
-            if len(self.queued[target]) < MAX_QUEUED_MESSAGES:
-                self.queued[target].append(relayed)
+            self.queued[target].append(relayed)
         elif (
             now - self.failed_at.get(target, -RETRY_DELAY_S) >= RETRY_DELAY_S
             and len(self.queued) < MAX_DIALING
         ):
-            self.queued[target] = [relayed]
+            self.queued[target] = FrameQueue(MAX_QUEUED_MESSAGES, MAX_QUEUED_BYTES)
+            self.queued[target].append(relayed)
             task = asyncio.get_running_loop().create_task(self.connect(target))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -76,8 +78,8 @@
         else:
             self.failed_at[target] = self.clock.now()
             return
-        for message in messages:
-            connection.send(message)
+        while messages:
+            connection.write(messages.pop())
 
     def sweep(self, now: float) -> None:
         """Close idle connections that were opened here; forget those opened by others."""
--- a/latchspoke/dataplane/session_affinity.py
+++ b/latchspoke/dataplane/session_affinity.py
@@ -40,6 +40,7 @@
 from latchspoke.session_records.store import AttemptTarget, OutgoingMessage, RecordStore, StoreOutput
 from latchspoke.session_records.store import StoreReply as Told
 from latchspoke.transport.connection import Message
+from latchspoke.transport.frame_queue import FrameQueue
 from latchspoke.transport.log import log
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
 SERVER_QUERY_TIMEOUT_S = 0.3  # for a server to report the fate of an attempt
 SETTLE_MARGIN_S = 1.0  # beyond the lease: all holders of a record have reported it or lost their right
 MAX_QUEUED_MESSAGES = 1000  # per gateway, while there is no connection to it
+MAX_QUEUED_BYTES = 256 * 1024
 OPERATOR_TIMEOUT_S = 2.0
 
 
@@ -127,7 +129,7 @@
         )  # fmt: skip
         self.coordinator = RequestCoordinator(self.record_store, self.server_known)
         self.tracked: dict[str, TrackedRequest] = {}
-        self.queued_messages: dict[str, list[Message]] = {}
+        self.queued_messages: dict[str, FrameQueue] = {}
         self.fate_queries: dict[str, Callable[[ExchangeState], None]] = {}
         self.operator_calls: dict[str, asyncio.Future[Told]] = {}
         self.actions: list[api.Action] = []
@@ -193,16 +195,17 @@
         if connection is not None and not self.queued_messages.get(gateway):
             connection.send(envelope)
         elif gateway in usage_reports.gateways:
-            queue = self.queued_messages.setdefault(gateway, [])
-            queue.append(envelope)
-            del queue[:-MAX_QUEUED_MESSAGES]
+            if gateway not in self.queued_messages:
+                self.queued_messages[gateway] = FrameQueue(MAX_QUEUED_MESSAGES, MAX_QUEUED_BYTES)
+            self.queued_messages[gateway].append(envelope)
             usage_reports.connect(gateway, self.clock.now())
 
     def flush(self, gateway: str) -> None:
         """Send the queued messages to a gateway whose connection is up."""
         connection = self.node.usage_reports.connections.get(gateway)
-        for message in self.queued_messages.pop(gateway, ()) if connection is not None else ():
-            connection.send(message)  # type: ignore[union-attr]
+        messages = self.queued_messages.pop(gateway, None) if connection is not None else None
+        while messages:
+            connection.write(messages.pop())  # type: ignore[union-attr]
 
     def handle_message(self, message: Message) -> None:
         """A message from another gateway. Raises KeyError, TypeError or ValueError if it is malformed."""
--- a/latchspoke/distribution/published_state.py
+++ b/latchspoke/distribution/published_state.py
@@ -46,6 +46,9 @@
         raise ValueError(f"servers can't be read: {error}") from None
 
 
+SNAPSHOT_TRANSFER_S = 3.0  # the longest time for which a snapshot is taken to be on its way
+
+
 class CommittedState(msgspec.Struct):
     """The operator's orders as of an index of the replicated log (0: none yet)."""
 
@@ -69,7 +72,9 @@
     name: str
     send: Callable[[Message], object]
     has_snapshot: bool = False  # a snapshot was sent, so that changes can be applied
-    acknowledged_sequence_number: int = 0
+    snapshot_number: int = 0  # the sequence number of the last snapshot
+    snapshot_sent_at: float = -math.inf
+    acknowledged_sequence_number: int = -1
     acknowledged_index: int = 0  # of the committed state
     version: int = 0  # of the configuration, as last reported
     zone: str = ""
@@ -101,6 +106,7 @@
     def send_snapshot(self, subscriber: Subscriber, now: float) -> None:
         """Send a subscriber the committed state and the servers."""
         subscriber.has_snapshot = True
+        subscriber.snapshot_number, subscriber.snapshot_sent_at = self.sequence_number, now
         committed = self.committed
         snapshot: Message = {
             "k": "whole",
@@ -111,6 +117,12 @@
         snapshot |= encode_entries(self.registry.snapshot(now), subscriber.supports_compression)
         subscriber.send(snapshot | self.document_update(subscriber.version) | self.pool_versions_field())
 
+    def resend_snapshot(self, subscriber: Subscriber, now: float) -> None:
+        """A subscriber requests a snapshot, unless the last one is still on its way to it."""
+        is_acknowledged = subscriber.acknowledged_sequence_number >= subscriber.snapshot_number
+        if is_acknowledged or now - subscriber.snapshot_sent_at >= SNAPSHOT_TRANSFER_S:
+            self.send_snapshot(subscriber, now)
+
     def document_update(self, version: int) -> Message:
         """The fields of the update for a subscriber with this version: nothing, a patch or the document."""
         committed = self.committed
--- a/latchspoke/distribution/publisher.py
+++ b/latchspoke/distribution/publisher.py
@@ -26,6 +26,7 @@
         match message.get("k"):
             case "hello":
                 name, version = str(message.get("name", "?")), int(message.get("version", 0))
+                self.connection_closed(connection)  # of the subscriber before, if there is one
                 connection.tag = Subscriber(
                     name,
                     connection.send,
@@ -41,7 +42,7 @@
                 )
             case "again" if subscriber is not None:
                 subscriber.version = int(message.get("version", 0))
-                self.published_state.send_snapshot(subscriber, self.clock.now())
+                self.published_state.resend_snapshot(subscriber, self.clock.now())
             case "prove":
                 self.on_proof_request(connection, int(message["t"]))
             case _:
--- a/latchspoke/lab/soak/hostile_clients.py
+++ b/latchspoke/lab/soak/hostile_clients.py
@@ -66,6 +66,11 @@
     return request("/tickets/new", "POST")
 
 
+def netstring(data: bytes) -> bytes:
+    """Data as a message of the internal port."""
+    return b"%d:%b," % (len(data), data)
+
+
 SHORT_HEADERS = repeat(b"a:\r\n", HEAD_BYTES)
 CONNECTION_HEADERS = numbered_headers(b"Connection: h%d\r\n", 700)
 TINY_CHUNK = b"2\r\nab\r\n"
@@ -128,21 +133,20 @@
     ),
 }  # fmt: skip
 
+SUBSCRIPTION = netstring(b'{"k":"hello","name":"nobody"}')
+SNAPSHOT_REQUEST = netstring(b'{"k":"again","version":0}')
+
 # What peers, or whoever reaches their port, send to the internal port.
 PEER_TRAFFIC: dict[str, Callable[[], HostileTraffic]] = {
     "peer_idle": lambda: HostileTraffic(),
     "peer_held_lengths": lambda: HostileTraffic(b"4000000:" + b'{"a":"' + b"x" * 7_000),
     "peer_json_bombs": lambda: HostileTraffic(netstring(json_bomb(JSON_BOMB_BYTES))),
     "peer_small_json_bombs": lambda: HostileTraffic(b"", netstring(json_bomb(SMALL_JSON_BOMB_BYTES, t="x"))),
+    "peer_no_readers": lambda: HostileTraffic(b"", (SUBSCRIPTION + SNAPSHOT_REQUEST * 5) * 10),
     "peer_junk": lambda: HostileTraffic(b"\0" * 100, closes_after_s=COMES_AGAIN_S),
 }  # fmt: skip
 
 
-def netstring(data: bytes) -> bytes:
-    """Data as a message of the internal port."""
-    return b"%d:%b," % (len(data), data)
-
-
 @dataclass(frozen=True, slots=True)
 class HostileKind:
     """One kind of client at one port of one program."""
--- a/latchspoke/node_process.py
+++ b/latchspoke/node_process.py
@@ -30,6 +30,7 @@
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.input_turns import InputTurns
 from latchspoke.transport.log import log, log_now, open_log
+from latchspoke.transport.output_budget import OutputBudget
 
 # Within the internal port range.
 GATEWAY_PORT_OFFSET, CONTROL_PORT_OFFSET = 0, 1
@@ -45,6 +46,7 @@
 PEER_DESCRIPTOR_FRACTION = 0.25  # of the descriptors, for connections to the internal port
 MIN_PEER_CONNECTIONS = 32
 DOCUMENTS_MEMORY_FRACTION = 0.08  # for earlier versions of the configuration, and as much for updates
+OUTPUT_MEMORY_FRACTION = 0.2  # for messages that other processes have not read
 CALL_MEMORY_FRACTION = 0.15  # for the bodies of calls, and for their answers
 
 
@@ -76,6 +78,7 @@
         memory_bytes = s.memory_mb * 1024 * 1024
         self.memory_pool = MemoryPool(int(memory_bytes * POOL_MEMORY_FRACTION))
         self.message_budget = BodyBudget(int(memory_bytes * MESSAGE_MEMORY_FRACTION), self.memory_pool)
+        self.output_budget = OutputBudget(int(memory_bytes * OUTPUT_MEMORY_FRACTION))
         self.call_budget = BodyBudget(int(memory_bytes * CALL_MEMORY_FRACTION), self.memory_pool)
         self.input_turns = InputTurns(loop)
         self.max_decoded_bytes = int(memory_bytes * DECODED_MEMORY_FRACTION)
@@ -147,7 +150,11 @@
         await self.bind(self.internal_address, lambda: transport.start(*self.internal_address))
         await self.listen(
             lambda: MessageConnection(
-                self.inbound_message, self.inbound_closed, budget=self.message_budget, limits=limits
+                self.inbound_message,
+                self.inbound_closed,
+                budget=self.message_budget,
+                limits=limits,
+                output=self.output_budget,
             ),
             self.internal_address,
             INTERNAL_BACKLOG,
--- a/latchspoke/transport/connection.py
+++ b/latchspoke/transport/connection.py
@@ -13,6 +13,7 @@
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.input_turns import BoundedInput, InputTurns
 from latchspoke.transport.netstring import MAX_DECODED_BYTES, FrameDecoder, FrameError, encode_frame
+from latchspoke.transport.output_budget import OutputBudget
 
 Message = dict[str, Any]
 MessageHandler = Callable[["MessageConnection", Message], None]
@@ -39,11 +40,14 @@
         on_open: Callable[[MessageConnection], None] | None = None,
         budget: BodyBudget = UNLIMITED,
         limits: InboundLimits | None = None,
+        output: OutputBudget | None = None,
     ) -> None:
         """``budget``: for large messages while they are received; without room, the connection ends.
 
-        ``limits``: for a connection that another process, or anybody else, has opened.
+        ``limits``: for a connection that another process, or anybody else, has opened. ``output``: for what
+        the peers of all connections do not read.
         """
+        self.output = output
         self.budget, self.counted_bytes, self.limits = budget, 0, limits
         self.input_turns = limits.input_turns if limits is not None else None
         self.on_message, self.on_closed, self.on_open = on_message, on_closed, on_open
@@ -93,9 +97,16 @@
             # A peer that has lost power sends no reset; without this, data sent to it would wait for minutes.
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.output is not None:
+            self.output.add(self)
         if self.on_open is not None:
             self.on_open(self)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Written, and not yet taken by the peer."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def data_received(self, data: bytes) -> None:
         """Decode messages; malformed input ends the connection."""
         self.received_bytes += len(data)
@@ -141,6 +152,9 @@
         elif unread > MAX_UNREAD_BYTES + self.largest_unread_frame:
             self.end("peer does not read")
             return False
+        if self.output is not None and not self.output.has_room(self, len(data)):
+            self.end("peers do not read")
+            return False
         self.largest_unread_frame = max(self.largest_unread_frame, len(data))
         transport.write(data)
         return True
@@ -157,6 +171,8 @@
         self.counted_bytes, self.decoder, self.held_input = 0, FrameDecoder(), b""
         if self.limits is not None:
             self.limits.connections.remove(self)
+        if self.output is not None:
+            self.output.remove(self)
         self.reason = self.reason or (f"connection lost: {exc}" if exc else "closed by the peer")
         self.notify_closed()
 
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -675,3 +675,13 @@
     assert harness.call("configuration.replace", order)[0] == 200
     body = harness.replica.commands[-1]["doc"]
     assert isinstance(body, msgspec.Raw) and msgspec.json.decode(body) == order
+
+
+def test_second_subscription_on_a_connection_replaces_the_first(harness: NodeHarness) -> None:
+    """Subscribers of a connection that sent several were kept for ever, all but the last."""
+    connection = harness.connection()
+    for name in ("g", "g", "h"):
+        harness.node.inbound_message(connection, {"k": "hello", "name": name})
+        assert [subscriber.name for subscriber in harness.node.published_state.subscribers] == [name]
+    harness.node.inbound_closed(connection, "closed")
+    assert not harness.node.published_state.subscribers
--- a/tests/distribution/test_published_state.py
+++ b/tests/distribution/test_published_state.py
@@ -343,3 +343,24 @@
     for version in range(1, 11):
         updates.update_from(version, 11, documents[11])
         assert updates.held_bytes <= updates.memory_bytes
+
+
+def test_snapshot_on_its_way_is_not_sent_again() -> None:
+    """After a gap each further change asked for a snapshot, and each request was answered with one."""
+    source = make_state()
+    sent: list[Message] = []
+    source.update_committed(make_committed(1, 1), 0.0)
+    subscriber = Subscriber("g", sent.append)
+    source.add_subscriber(subscriber, 0.0)
+    for now in (0.1, 0.5, 2.9):
+        source.resend_snapshot(subscriber, now)
+    assert len(sent) == 1
+    source.record_acknowledgement(subscriber, sent[0]["n"], 1)
+    source.resend_snapshot(subscriber, 3.0)
+    assert len(sent) == 2, "the first one has arrived"
+    source.update_committed(make_committed(2, 2), 3.1)
+    source.send_snapshot(subscriber, 3.2)
+    source.resend_snapshot(subscriber, 6.1)
+    assert len(sent) == 4
+    source.resend_snapshot(subscriber, 6.3)
+    assert len(sent) == 5, "it should have arrived by now"
--- a/tests/transport/test_unread.py
+++ b/tests/transport/test_unread.py
@@ -12,6 +12,7 @@
 from latchspoke.transport.body_budget import BodyBudget
 from latchspoke.transport.connection import MessageConnection
 from latchspoke.transport.http_server import MAX_HEAD_BYTES, HttpServerConnection
+from latchspoke.transport.output_budget import OutputBudget
 
 CALL = b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n"
 ANSWER = {"text": "x" * 20_000}
@@ -52,6 +53,9 @@
 
     abort = close
 
+    def get_write_buffer_size(self) -> int:
+        return len(self.unread)
+
     def read(self) -> bytes:
         """Read all that was written."""
         data, self.unread = self.unread, b""
@@ -196,3 +200,34 @@
         connection.data_received(b",")
     assert len(received) == len(alive) and budget.held_bytes == 0
     assert set(ended) == {"too many large messages at once"}
+
+
+def test_messages_that_peers_do_not_read_are_bounded_together(loop: asyncio.AbstractEventLoop) -> None:
+    """Each of some hundred peers might leave 8 MB unread; the one with the most is closed first."""
+
+    async def scenario() -> None:
+        budget, closed = OutputBudget(1_000_000), []
+
+        def on_closed(connection: MessageConnection, reason: str) -> None:
+            closed.append(connection)
+
+        connections = [MessageConnection(lambda *args: None, on_closed, output=budget) for _ in range(14)]
+        transports = [await connect(connection) for connection in connections]
+
+        def held_bytes() -> int:
+            return sum(len(transport.unread) for transport in transports)
+
+        for number, connection in enumerate(connections):
+            connection.send({"t": "x" * (100_000 + (number == 4))})
+            assert held_bytes() <= budget.limit_bytes
+        assert [number for number, each in enumerate(transports) if each.closed] == [4, 9, 10, 11, 12, 13]
+        assert connections[0].send({"t": "x" * 100}), "little is always written"
+        transports[4].unread = b""
+        connections[4].connection_lost(None)
+        assert connections[0].send({"t": "x" * 90_000}), "its room is free again"
+        for number, connection in enumerate(connections):
+            if number != 4:
+                connection.connection_lost(None)
+        assert len(closed) == 14 and not budget.connections and not budget.closing
+
+    loop.run_until_complete(scenario())
