Bound the pairs that a gateway's attempt recorder keeps, and texts in the log

Cause: found by looking for what else is kept by count without a bound in bytes. The recorder kept 24 spans with an entry of some 350 bytes for each pair of server and route, whatever their number; 200 events of any size waited until the log was opened.

Change: at most 4,000 pairs in a span and 24,000 in all, then spans get shorter and the oldest go; a text in the log is cut off at 1,000 characters.

Nothing was seen over its limit by this.

--- a/latchspoke/reach/recorder.py
+++ b/latchspoke/reach/recorder.py
@@ -1,7 +1,8 @@
 """Records attempts of one gateway by server and route, and why servers get fewer requests or none.
 
 Attempts are counted by outcome and latency in spans of ``SPAN_S``. For each server the current reasons are
-kept, and the latest changes. Memory is bounded by ``MAX_SPANS`` and ``MAX_CHANGES``; nothing is persisted.
+kept, and the latest changes. Memory is bounded by ``MAX_SPANS``, ``MAX_PAIRS`` and ``MAX_CHANGES``; nothing
+is persisted. With very many pairs spans get shorter, and less of the past is kept.
 Reads no clock: the time (s) is passed in.
 """
 
@@ -20,6 +21,8 @@
 MAX_CHECKS_PER_CALL = 300  # servers whose status is checked in one call
 MAX_SPANS = 24
 MAX_CHANGES = 400
+MAX_PAIRS_IN_SPAN = 4_000  # of server and route, some 350 bytes each
+MAX_PAIRS = 24_000  # in all spans
 ERROR_RATE_THRESHOLD = 0.2  # above which a server counts as erring
 SLOW_FACTOR = 2.0  # latency relative to the usual above which a server counts as slow
 SLOW_CLEAR_FACTOR = 1.5  # below which it no longer does; the gap prevents flapping
@@ -131,9 +134,11 @@
         index = OUTCOME_INDEX.get(code)
         if index is None:
             return
-        if now - self.span_started_at >= SPAN_S:
-            self.start_span(now)
         key = server_id, route
+        if now - self.span_started_at >= SPAN_S or (
+            len(self.current) >= MAX_PAIRS_IN_SPAN and key not in self.current
+        ):
+            self.start_span(now)
         counts = self.current.get(key)
         if counts is None:
             counts = self.current[key] = array("I", EMPTY_COUNTS)
@@ -148,6 +153,8 @@
         if self.current:
             self.spans.append((self.span_started_at, self.current))
             self.current = {}
+        while sum(len(counts) for _, counts in self.spans) > MAX_PAIRS - MAX_PAIRS_IN_SPAN:
+            self.spans.popleft()
         self.span_started_at = now
 
     def check_statuses(self, stock: Balancer, now: float) -> list[StatusChange]:
--- a/latchspoke/transport/log.py
+++ b/latchspoke/transport/log.py
@@ -21,12 +21,16 @@
     "link-failed": "error", "store-set-aside": "error", "waits-to-start": "warning", "failed": "error",
 }  # fmt: skip
 MAX_BUFFERED_EVENTS = 200
+MAX_FIELD_CHARS = 1000  # of a text; the rest is cut off
 BUFFERED_EVENTS: deque[tuple[float, str, dict[str, Any]]] = deque(maxlen=MAX_BUFFERED_EVENTS)
 LOGGER: list[Any] = []
 
 
 def log(event: str, **fields: Any) -> None:
     """Log one event. The fields must never contain API keys of tenants."""
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAX_FIELD_CHARS:
+            fields[name] = value[:MAX_FIELD_CHARS]
     fields["level"] = EVENT_LEVELS.get(event, "info")
     if LOGGER:
         LOGGER[0].info(event, **fields)
--- a/tests/reach/test_recorder.py
+++ b/tests/reach/test_recorder.py
@@ -14,6 +14,8 @@
 from latchspoke.reach.aggregate import findings, summarize, timeline
 from latchspoke.reach.recorder import (
     MAX_CHANGES,
+    MAX_PAIRS,
+    MAX_PAIRS_IN_SPAN,
     MAX_SPANS,
     OUTCOMES,
     RETENTION_S,
@@ -43,6 +45,17 @@
     assert recorder.counts_within(RETENTION_S, 999.0)[0] <= RETENTION_S + SPAN_S
 
 
+def test_number_of_pairs_of_server_and_route_is_bounded() -> None:
+    """Of the plan's 3,000 servers and 3,800 routes a busy gateway kept tens of megabytes."""
+    recorder = AttemptRecorder(0.0)
+    for number in range(200_000):
+        recorder.record(f"b{number % 3000}", f"r{number % 3797}", Code.OK, 0.1, False, number / 4000)
+        if number % 1000 == 0:
+            assert len(recorder.current) <= MAX_PAIRS_IN_SPAN
+            assert len(recorder.current) + sum(len(counts) for _, counts in recorder.spans) <= MAX_PAIRS
+    assert recorder.counts_within(1.0, 50.0)[1]
+
+
 def test_attempt_that_was_never_sent_is_not_counted() -> None:
     recorder = AttemptRecorder(0.0)
     for code in Code:
