Ask the voters how old an evacuation's last change is

Cause: each machine counted from when it applied the last change by its own clock, which is late where it stood still or was cut off, and unknown after a restart.

Change: voters note when they store an entry; whoever judges a call asks them. By the overlap of majorities the answers bound the time since the proposal from below and the time since the commit from above; what they leave open is answered 503. A call that may have waited through a pause of a second is rejected. The messages by which machines told each other of changes are no longer sent.

--- a/latchspoke/configstore/messages.py
+++ b/latchspoke/configstore/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from latchspoke.configstore.config_state import Command, Verdict
+from latchspoke.configstore.entry_ages import EntryAge
 from latchspoke.consensus.records import AnyMessage
 
 REQUEST_ID_FIELD = "n"
@@ -59,6 +60,20 @@
     index: int = msgspec.field(name="i")
 
 
+class EntryAgeRequest(msgspec.Struct, frozen=True, tag_field="k", tag="age"):
+    """Asks how long the receiver has known an entry."""
+
+    request_id: int = msgspec.field(name=REQUEST_ID_FIELD)
+    index: int = msgspec.field(name="i")
+
+
+class EntryAgeReply(msgspec.Struct, frozen=True, tag_field="k", tag="aged"):
+    """How long the sender has known an entry."""
+
+    request_id: int = msgspec.field(name=REQUEST_ID_FIELD)
+    age: EntryAge = msgspec.field(name="a")
+
+
 class JoinRequest(msgspec.Struct, frozen=True, tag_field="k", tag="knock"):
     """The sender asks to join under this identity."""
 
@@ -85,6 +100,8 @@
     | NotLeaderReply
     | ReadIndexRequest
     | ReadIndexReply
+    | EntryAgeRequest
+    | EntryAgeReply
     | JoinRequest
     | LeaderHint
     | LeaveNotice
--- a/latchspoke/configstore/store_node.py
+++ b/latchspoke/configstore/store_node.py
@@ -21,9 +21,12 @@
 
 from latchspoke.configstore import messages
 from latchspoke.configstore.config_state import STALE, UNKNOWN, ApplyPatch, Command, ConfigState, Verdict
+from latchspoke.configstore.entry_ages import AgeBounds, EntryAge, ReceiptTimes, age_bounds
 from latchspoke.configstore.messages import (
     CommandReply,
     CommandRequest,
+    EntryAgeReply,
+    EntryAgeRequest,
     JoinRequest,
     LeaderHint,
     LeaveNotice,
@@ -66,7 +69,8 @@
 TRANSFER_MAX_LOG_BYTES = 16_000_000
 
 OutgoingMessage = tuple[str, Message]  # name of the target process, message
-Answer = Verdict | int | None  # Verdict for ``submit``; applied index or None for ``confirm_read``
+# Verdict for ``submit``; applied index or None for ``confirm_read``; AgeBounds for ``ask_entry_age``.
+Answer = Verdict | int | AgeBounds | None
 
 
 class PendingCommand(msgspec.Struct):
@@ -96,6 +100,26 @@
     sent_at: float
 
 
+class AgeQuery(msgspec.Struct):
+    """A question to the voters how long they have known an entry."""
+
+    index: int
+    asked_at: float
+    deadline: float
+    voters: frozenset[str]  # identities
+    majority: int
+    ages: dict[str, EntryAge] = msgspec.field(default_factory=dict)  # by the voter's identity
+
+    def bounds(self, now: float) -> AgeBounds:
+        """The bounds from the answers so far."""
+        return age_bounds(self.ages, self.majority, now - self.asked_at)
+
+    def is_complete(self) -> bool:
+        """Whether a majority has observed the entry, or all voters have answered."""
+        observed = sum(age.observed for age in self.ages.values())
+        return observed >= self.majority or len(self.ages) == len(self.voters)
+
+
 class PendingJoin(msgspec.Struct):
     """A join request received by the leader."""
 
@@ -150,6 +174,8 @@
         self.seeds = tuple(seeds)
         self.state = ConfigState(apply_patch)
         self.applied_index = stored.snapshot.index
+        self.receipt_times = ReceiptTimes(now, self.member.log.last_index)
+        self.age_queries: dict[int, AgeQuery] = {}  # by request ID
         self.live_names: set[str] = set()
         self.outbox: list[OutgoingMessage] = []
         self.answers: list[tuple[int, Answer]] = []
@@ -205,6 +231,7 @@
         times = [self.member.next_tick_at()]
         times += [call.deadline for call in self.pending_commands.values()]
         times += self.read_deadlines.values()
+        times += [query.deadline for query in self.age_queries.values()]
         if self.leader:
             times += [call.retry_at for call in self.pending_commands.values() if self.can_send(call)]
             if self.read_batch is not None:
@@ -229,6 +256,8 @@
             self.answers.append((request_id, Verdict(UNKNOWN, "no answer in time", self.state.version)))
         for read_id in [t for t, until in self.read_deadlines.items() if now >= until]:
             self.finish_read(read_id, None)
+        for query_id in [n for n, query in self.age_queries.items() if now >= query.deadline]:
+            self.finish_age_query(query_id)
         self.request_join()
         self.update_membership()
         self.send_pending()
@@ -261,6 +290,22 @@
         self.send_pending()
         return read_id
 
+    def ask_entry_age(self, index: int, limit: float, now: float) -> int:
+        """Asks the voters how long they have known an entry; ``answers`` gets the bounds of its age.
+
+        Answers later than ``limit`` (s) do not count; without those of a majority there is no upper bound.
+        """
+        self.now = now
+        self.last_request_id += 1
+        query_id = self.last_request_id
+        members = self.member.members
+        self.age_queries[query_id] = AgeQuery(
+            index, now, now + limit, frozenset(members.voters), members.majority
+        )
+        for identity in members.voters:
+            self.send_to(name_of(identity), EntryAgeRequest(query_id, index))
+        return query_id
+
     def update_peers(self, locations: Mapping[str, Location], now: float) -> None:
         """Sets the control-plane processes that are alive, by name, and their locations."""
         self.now = now
@@ -284,6 +329,8 @@
         self.pending_commands.clear()
         for read_id in list(self.read_deadlines):
             self.finish_read(read_id, None)
+        for query_id in list(self.age_queries):
+            self.finish_age_query(query_id)
 
     def receive(self, name: str, message: dict[str, Any], now: float) -> None:
         """Handles a message from a process; drops it if it is malformed."""
@@ -310,6 +357,10 @@
                 self.on_not_leader(message.request_id)
             case ReadIndexReply():
                 self.on_read_index_reply(message.request_id, message.index)
+            case EntryAgeRequest():
+                self.on_entry_age_request(name, message.request_id, message.index)
+            case EntryAgeReply():
+                self.on_entry_age_reply(name, message.request_id, message.age)
             case JoinRequest():
                 self.on_join_request(name, message.identity)
             case LeaderHint():
@@ -331,6 +382,9 @@
     def on_stored(self, output: Output, now: float) -> None:
         """The output's writes are synced: releases its messages and applies its committed entries."""
         self.now = now
+        if output.entries:
+            first, last = output.entries[0].index, output.entries[-1].index
+            self.receipt_times.record(first, last, now, self.member.is_voter)
         self.log_bytes += sum(len(entry.body) for entry in output.entries)
         for message in output.messages:
             self.outbox.append((name_of(message.target), RaftMessage(message)))
@@ -367,6 +421,7 @@
     def restore(self, snapshot: Snapshot) -> None:
         """Resets the state to a snapshot received from the leader."""
         self.state.load(snapshot.body)
+        self.receipt_times.record_snapshot(snapshot.index, self.now)
         self.applied_index, self.state_changed = snapshot.index, True
         self.log_bytes = sum(len(entry.body) for entry in self.member.log.entries)
         for index in [i for i in self.proposals if i <= snapshot.index]:
@@ -488,6 +543,25 @@
         if self.read_deadlines.pop(read_id, None) is not None:
             self.answers.append((read_id, index))
 
+    # Ages of entries.
+
+    def on_entry_age_request(self, name: str, request_id: int, index: int) -> None:
+        """A process asks how long this one has known an entry."""
+        self.send_to(name, EntryAgeReply(request_id, self.receipt_times.age(index, self.now)))
+
+    def on_entry_age_reply(self, name: str, request_id: int, age: EntryAge) -> None:
+        """A voter tells how long it has known an entry."""
+        query = self.age_queries.get(request_id)
+        if query is None:
+            return
+        query.ages.update({identity: age for identity in query.voters if name_of(identity) == name})
+        if query.is_complete():
+            self.finish_age_query(request_id)
+
+    def finish_age_query(self, query_id: int) -> None:
+        """Answers a question for the age of an entry."""
+        self.answers.append((query_id, self.age_queries.pop(query_id).bounds(self.now)))
+
     # Leader.
 
     def send_to(self, name: str, message: Message) -> None:
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -34,6 +34,7 @@
     RegionTopology,
     servers_message,
 )
+from latchspoke.controlplane.pauses import PauseDetector
 from latchspoke.controlplane.peers import Peers
 from latchspoke.controlplane.relays import GatewayRelays
 from latchspoke.controlplane.rollouts import RolloutController
@@ -127,7 +128,10 @@
         self.proof_requests: list[tuple[MessageConnection, int, float]] = []
         self.proof_running = False
         self.connected_since = self.started_at = self.clock.now()
-        self.evacuations = EvacuationController(self.replica, s, self.clock.now, self.rng, self.respond)
+        self.pauses = PauseDetector(SWEEP_INTERVAL_S, self.started_at)
+        self.evacuations = EvacuationController(
+            self.replica, s, self.clock.now, self.pauses, self.rng, self.respond
+        )
         self.rollouts = RolloutController(
             self.replica, s, self.clock.now, self.peers.send, self.live_gateways, self.spawn, self.respond
         )
@@ -177,7 +181,6 @@
 
     def store_applied(self, stored: StoredState) -> None:
         """The replicated store has applied committed commands; only committed state is published."""
-        self.evacuations.tracker.record_applied(stored, self.clock.now(), self.replica.read_confirmed)
         self.rollouts.record_applied(stored)
         if self.replica.read_confirmed:
             self.publish_committed()
@@ -249,14 +252,11 @@
     # Other control-plane nodes.
 
     def peer_connected(self, connection: MessageConnection) -> None:
-        """A connection to a peer has opened: send it the known servers and evacuation changes."""
+        """A connection to a peer has opened: send it the known servers."""
         now = self.clock.now()
         if self.peers.topology.sends_snapshot(str(connection.tag), self.peers.alive):
             supports_compression = str(connection.tag) in self.peers.topology.forwarding_nodes
             connection.send(servers_message(self.registry.snapshot(now), supports_compression))
-        # A restarted peer knows neither when evacuations changed nor which calls were answered.
-        if evacuation_message := self.evacuations.tracker.to_message(now):
-            connection.send(evacuation_message)
 
     def handle_peer_reply(self, connection: MessageConnection, message: Message) -> None:
         """A message of a peer on a connection opened by this node."""
@@ -296,8 +296,8 @@
                 self.refresh_heartbeats(name, message, now)
             case "want":
                 self.send_requested_servers(name, message, now)
-            case "moved":
-                self.evacuations.tracker.merge(message, now)
+            case "moved":  # of an older release: when evacuations changed, as far as its sender knows
+                pass
             case "rollouts":
                 reply(RECEIPT)
                 self.rollouts.handle_reports(message)
@@ -683,6 +683,7 @@
                 )
         self.control_nodes_changed()
         now = self.clock.now()
+        self.pauses.start(now)
         self.clock.schedule(now + SWEEP_INTERVAL_S, self.sweep)
         self.clock.schedule(now + HEARTBEAT_REPORT_INTERVAL_S, self.report_heartbeats_periodically)
         self.serving_started(control=str(s.listen_addresses.get("controlPlane")))
@@ -690,6 +691,7 @@
     def sweep(self, now: float) -> None:
         """Periodic work: missed heartbeats, expired evidence, unpublished state, changed settings."""
         self.clock.schedule(now + SWEEP_INTERVAL_S, self.sweep)
+        self.pauses.tick(now)
         if not self.peers.connected_count and len(self.peers.links):
             self.connected_since = now
         changed = self.registry.sweep(now, detect_silence=now - self.connected_since > ISOLATION_GRACE_S)
--- a/tests/compatibility/test_recorded_build.py
+++ b/tests/compatibility/test_recorded_build.py
@@ -13,6 +13,7 @@
 from latchspoke.agent.raft_store import RaftStore
 from latchspoke.configstore import messages
 from latchspoke.configstore.config_state import Command, ConfigState, Verdict
+from latchspoke.configstore.entry_ages import EntryAge
 from latchspoke.configstore.store_node import StoreNode, founding_snapshot
 from latchspoke.configuration.patch import apply_patch, diff
 from latchspoke.consensus import records
@@ -256,6 +257,8 @@
     "no": messages.NotLeaderReply(21),
     "prove": messages.ReadIndexRequest(22, True),
     "proof": messages.ReadIndexReply(22, 17),
+    "age": messages.EntryAgeRequest(23, 17),
+    "aged": messages.EntryAgeReply(23, EntryAge(2.5, True)),
     "knock": messages.JoinRequest(NEWCOMER_ID),
     "leads": messages.LeaderHint(NODE_ID),
     "leaves": messages.LeaveNotice(NODE_ID, 3),
