Answer each request that a stopping gateway has read, inside the grace period

Cause: connections were taken for half of graceS, and whatever came on them was passed on, though everything was closed 0.35 s before the end. Requests that waited, and bodies still coming in, were cut off likewise; a control machine closed calls that it was answering.

Change: the end is a time line in its own module. Later than 3 s after SIGTERM a request is passed on only if its deadline ends before the last answers, otherwise it gets 503 and Retry-After; an earlier one is passed on with its server told to be done by then. At the last answers, 0.5 s before the end, what has had an attempt fails and all else is rejected.

--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -65,6 +65,8 @@
 CALLER_DESCRIPTOR_FRACTION = 0.5  # for connections of servers, operators and clients; links need the rest
 MIN_CALLER_CONNECTIONS = 16
 LARGE_ORDER_BYTES = 256 * 1024  # a decoded configuration takes many times its size
+MIN_SHUTDOWN_DELAY_S = 0.1  # for what has been written
+MAX_ANSWER_DELAY_S = 0.6  # at the end, for calls that are being answered
 MAX_CHECK_ATTEMPTS = 3  # a patch is checked again when its base version has changed meanwhile
 RECEIPT: Message = {"k": "heard"}  # answers a message without a reply, to show that the path works
 STATUS_BY_VERDICT = {"taken": 200, "repeated": 200, "conflict": 412, "invalid": 400}
@@ -717,8 +719,11 @@
 
     async def shut_down(self) -> None:
         """Stop the replicated store, leave the membership and close the connections."""
-        await self.replica.stop()
-        await asyncio.sleep(0.1)
+        await self.replica.stop()  # calls that wait for it are answered now
+        until = self.clock.now() + MAX_ANSWER_DELAY_S
+        await asyncio.sleep(MIN_SHUTDOWN_DELAY_S)
+        while self.clock.now() < until and any(caller.busy for caller in self.connection_limit.connections):
+            await asyncio.sleep(MIN_SHUTDOWN_DELAY_S / 2)
         self.membership_transport.leave()
         for server in self.listeners:
             server.close()
--- a/latchspoke/dataplane/core.py
+++ b/latchspoke/dataplane/core.py
@@ -49,6 +49,18 @@
         if isinstance(flow.message, Request):
             flow.message.body = b""
 
+    def end_all(self, now: float, retry_after: float) -> None:
+        """Answer all flows now: those that servers may work on fail, the others may be repeated elsewhere."""
+        for flow in list(self.flows.values()):
+            flow.deadline = now  # nothing is sent for it any more
+            if flow.closed:
+                continue
+            if flow.attempts:
+                self.expire(flow, now)
+            elif (waiting := self.finish(flow.request.request, "flows.no_room")) is not None:
+                waiting.client.unavailable(retry_after)  # type: ignore[attr-defined]
+                self.submit(api.Withdrawn(flow.request.request), now)
+
     def lease_expired(self, flow: Flow) -> bool:
         """Whether the epoch that authorized the flow has expired; checked immediately before sending."""
         if (
--- a/latchspoke/dataplane/downstream.py
+++ b/latchspoke/dataplane/downstream.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from barleyhub.line.dispatch import RoutedRequest
-from latchspoke.configuration.routes import Limits, Route, Table
+from latchspoke.configuration.routes import Limits, Route, Table, Tenant
 from latchspoke.core import DecisionLease
 from latchspoke.dataplane.body_memory import BodyMemory
 from latchspoke.dataplane.client_connection import ClientConnection
@@ -26,11 +26,14 @@
 
 if TYPE_CHECKING:
     from barleyhub.affinity.rendezvous import Caller
+    from latchspoke.dataplane.drain import DrainSchedule
 
 HOLD_TIMEOUT_S = 0.25  # how long a request waits for the configuration of a starting gateway
 MAX_HELD_REQUESTS = 500
 NOT_READY_RETRY_AFTER_S = 0.2
 NO_LEASE_RETRY_AFTER_S = 0.4
+STOPPING_RETRY_AFTER_S = 0.1
+STOPPING = "stopping"  # reason code of requests that can't be answered before this process ends
 MAX_DEADLINE_S = 86_400.0
 # Headers that are replaced or never forwarded to a server.
 REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {
@@ -76,6 +79,7 @@
         self.held_requests: dict[ClientExchange, None] = {}  # waiting for the configuration
         self.memory_is_short: Callable[[float], bool] = body_memory.is_short
         self.stopping = False
+        self.drain_schedule: DrainSchedule | None = None  # after SIGTERM
         self.request_ids = itertools.count(1)
         self.max_clients = int(context.sockets.max_used * 0.6)
 
@@ -91,11 +95,18 @@
 
     def handle_request(self, exchange: ClientExchange) -> None:
         """Route and authenticate a request, and pass it to the core."""
-        table, headers = self.table, exchange.headers
-        if table is None or not self.configuration_confirmed():
+        schedule, table = self.drain_schedule, self.table
+        if schedule is not None and self.context.clock.now() >= schedule.last_answers_at:
+            self.reject_stopping(exchange)
+        elif table is None or not self.configuration_confirmed():
             # The first configuration received may be out of date; it is not used before it is confirmed.
             self.hold(exchange)
-            return
+        else:
+            self.route_request(exchange, table)
+
+    def route_request(self, exchange: ClientExchange, table: Table) -> None:
+        """Find the route and the tenant of a request, and pass it to the core."""
+        headers = exchange.headers
         attempt_id, host = headers.get(b"x-attempt-id"), headers.get(b"host")
         if not attempt_id or host is None:
             self.reject_request(exchange, 400, "no_ident_or_host")
@@ -118,10 +129,13 @@
                 # Also without ``tenants``: the key may have been revoked, and no configuration holds it now.
                 self.deny(exchange, 401, "no_key", route.name)
                 return
-        caller, service = None, ""
-        if route.affinity is not None:
-            caller, service = self.find_caller(exchange, route, tenant.name if tenant else "")
-        left = read_decimal(headers.get(b"x-deadline-remaining", b""))
+        left = self.time_left(exchange, route)
+        if left is not None:
+            self.pass_on(exchange, route, tenant, epoch, left)
+
+    def time_left(self, exchange: ClientExchange, route: Route) -> float | None:
+        """The time (s) that a request may take; None if there is too little, and it is rejected."""
+        left = read_decimal(exchange.headers.get(b"x-deadline-remaining", b""))
         now = self.context.clock.now()
         left = min(left / 1000 if left is not None else MAX_DEADLINE_S, route.timeout) - (
             now - exchange.received_at
@@ -129,13 +143,34 @@
         exchange.deadline = now + left
         if left <= 0:
             self.reject_request(exchange, 503, "too_late", route.name)
-            return
+            return None
+        if self.drain_schedule is None:
+            return left
+        time_left = self.drain_schedule.time_for(left, now)
+        if time_left is None:
+            self.reject_stopping(exchange, route.name)
+        return time_left
+
+    def pass_on(
+        self,
+        exchange: ClientExchange,
+        route: Route,
+        tenant: Tenant | None,
+        epoch: DecisionLease | None,
+        left: float,
+    ) -> None:
+        """Pass a request to the core. ``left``: the time (s) that it may take."""
+        caller, service = None, ""
+        if route.affinity is not None:
+            caller, service = self.find_caller(exchange, route, tenant.name if tenant else "")
         call = RoutedRequest(
             f"{next(self.request_ids)}", tenant.name if tenant else "",
             service or route.service(self.rng.random()), route.name, 1.0, left, 1,
             route=route, tenant=tenant, caller=caller,
         )  # fmt: skip
+        attempt_id = exchange.headers[b"x-attempt-id"]
         message = self.build_request(exchange, attempt_id, tenant.name.encode() if tenant else b"")
+        now = self.context.clock.now()
         exchange.flow = self.core.accept(call, message, exchange, now)
         exchange.flow.lease = epoch
         self.core.begin(exchange.flow, now)
@@ -188,6 +223,20 @@
         self.record_refusal(reason, route)
         exchange.write_empty_response(status, retry_after)
 
+    def reject_stopping(self, exchange: ClientExchange, route: str = "") -> None:
+        """Answer that this process ends before it could pass on an answer; the client asks another one."""
+        self.reject_request(exchange, 503, STOPPING, route, STOPPING_RETRY_AFTER_S)
+
+    def answer_all(self, now: float) -> None:
+        """Answer all requests that were read or begun, as this process is about to end."""
+        held, self.held_requests = self.held_requests, {}
+        for exchange in held:
+            self.reject_stopping(exchange)
+        self.core.end_all(now, STOPPING_RETRY_AFTER_S)
+        for client in list(self.clients):
+            if client.message_started and not client.busy and not client.ending:
+                client.reject(FramingError(503, STOPPING))
+
     def record_refusal(self, reason: str, route: str = "") -> None:
         """Keep a reason code for operators."""
         self.core.dispatcher.refusals.append((self.context.clock.now(), reason, route, ""))
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -17,6 +17,7 @@
 from latchspoke.dataplane.client_connection import ClientConnection
 from latchspoke.dataplane.core import DataPlaneCore
 from latchspoke.dataplane.downstream import Downstream
+from latchspoke.dataplane.drain import Drain
 from latchspoke.dataplane.relay import Relay
 from latchspoke.dataplane.rollout_reports import RolloutReports
 from latchspoke.dataplane.subscription import FIRST_PROOF_DIVISOR, Source, Subscription, member_sources
@@ -26,7 +27,7 @@
 from latchspoke.membership.protocol import MembershipEvent
 from latchspoke.membership.transport import COMPRESSION_META_KEY
 from latchspoke.net.clock import Clock, Timer
-from latchspoke.net.http import CONNECT_GRACE_S, ConnectionContext, Dialer, Sockets, has_pending_connections
+from latchspoke.net.http import ConnectionContext, Dialer, Sockets
 from latchspoke.net.stats import Stats
 from latchspoke.node_process import GATEWAY_PORT_OFFSET, NodeProcess
 from latchspoke.outliers.evidence import decode_entry as read_evidence
@@ -49,8 +50,7 @@
 DEFAULT_QUOTA_WINDOW_S = 5.0
 # After this window, a new quota owner still grants no more than the reporting gateways may use anyway.
 NEW_OWNER_CAUTION_S = 2.0
-LISTEN_FRACTION = 0.5  # of ``graceS``: new connections are accepted this long after SIGTERM
-SHUTDOWN_MARGIN_S = 0.35  # before the end of ``graceS``
+DEFAULT_GRACE_S = 6.0  # from SIGTERM to SIGKILL
 GATEWAYS_UPDATE_INTERVAL_S = 0.1
 BUSY_PERIOD_S = 0.25  # after a request, reports are sent every ``REPORT_INTERVAL_S``
 IDLE_REPORT_INTERVAL_S = 0.25  # otherwise
@@ -184,7 +184,7 @@
         self.membership_transport.on_multicast = self.handle_broadcast
         self.ready = False
         self.counters_logged_at, self.logged_counters = self.clock.now(), dict[str, int]()
-        self.stopping_at = 0.0
+        self.drain: Drain | None = None  # after SIGTERM
         self.gateways_updated_at, self.gateways_update_scheduled = -math.inf, False
         self.requests_seen, self.busy_until = 0, -math.inf
         self.registry_swept_at = self.started_at
@@ -621,37 +621,12 @@
         """Stop being ready, so that clients go elsewhere; requests that still arrive are served."""
         if self.downstream.stopping:
             return
-        self.stopping_at = self.clock.now()
         self.downstream.stopping = True
         self.update_readiness()
         self.membership_transport.update_meta(self.meta(False))
         self.update_gateways()  # hands over the quotas owned here
         log("stops")
-        self.downstream.close_idle()
-        self.clock.schedule(self.stopping_at + 0.05, self.drain)
-
-    def drain(self, now: float) -> None:
-        """Check whether requests are finished or the grace period is over; then shut down."""
-        grace_s = self.settings.bound("graceS", 6.0)
-        elapsed = now - self.stopping_at
-        accept_overdue = elapsed > grace_s * LISTEN_FRACTION + CONNECT_GRACE_S
-        if (
-            elapsed > grace_s * LISTEN_FRACTION
-            and self.front_listener.is_serving()
-            and (accept_overdue or not has_pending_connections(self.front_listener))
-        ):
-            self.front_listener.close()
-        if elapsed > grace_s * LISTEN_FRACTION:
-            self.downstream.close_idle()
-        finished = (
-            elapsed > grace_s * LISTEN_FRACTION
-            and not self.downstream.in_flight
-            and not self.downstream.clients
-        )
-        if finished or elapsed > grace_s - SHUTDOWN_MARGIN_S:
-            self.shut_down()
-        else:
-            self.clock.schedule(now + 0.05, self.drain)
+        self.drain = Drain(self, self.settings.bound("graceS", DEFAULT_GRACE_S))
 
     def shut_down(self) -> None:
         """Leave the membership and close everything."""
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -10,6 +10,7 @@
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -718,3 +719,23 @@
         assert [subscriber.name for subscriber in harness.node.published_state.subscribers] == [name]
     harness.node.inbound_closed(connection, "closed")
     assert not harness.node.published_state.subscribers
+
+
+@pytest.mark.parametrize(("answered_after_s", "ends_after_s"), [(0.0, 0.1), (0.3, 0.3), (9.0, 0.6)])
+def test_calls_are_answered_before_the_process_ends(
+    harness: NodeHarness, monkeypatch: pytest.MonkeyPatch, answered_after_s: float, ends_after_s: float
+) -> None:
+    """An order that was applied got no answer, as its gateways' acknowledgements were still awaited."""
+
+    async def stop_replica() -> None:
+        pass
+
+    monkeypatch.setattr(harness.replica, "stop", stop_replica, raising=False)
+    monkeypatch.setattr(harness.node.membership_transport, "leave", lambda: None)
+    monkeypatch.setattr(harness.node.membership_transport, "stop", lambda: None)
+    caller = Mock(busy=True)
+    harness.node.connection_limit.add(caller)
+    harness.loop.call_later(answered_after_s, setattr, caller, "busy", False)
+    began = harness.loop.time()
+    harness.run(harness.node.shut_down())
+    assert harness.node.stopped.is_set() and ends_after_s <= harness.loop.time() - began < ends_after_s + 0.06
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -109,6 +109,8 @@
     assert judged(request(gave_up=True), arrival()) == []
     assert judged(request(), arrival(), life=Life(0.0, term_at=9.0)) == ["LOST"]
     assert judged(request(), arrival(), life=Life(0.0, term_at=7.9)) == []  # cut at the end of its grace
+    late = request(at=11.0, deadline=20.0, ended=14.0)
+    assert judged(late, arrival(), life=Life(0.0, term_at=7.9)) == ["LOST"]  # sent too late for that
 
 
 def test_only_what_is_under_way_as_the_clients_leave_counts_as_given_up() -> None:
