ctl: don't repeat an evacuation's call for longer than ackS

A begin that comes later than ackS after its first attempt counts as another operator's, and stays behind for good.

Change: it asks a machine for ackS and begins no attempt later than 0.9 of that (3 s if none answers); when the outcome is unknown it says to look before sending again. The status view tells how many evacuations of a zone stand.

Evidence: the new test failed before: attempts went on for 60 s.

--- a/latchspoke/controlplane/view.py
+++ b/latchspoke/controlplane/view.py
@@ -98,6 +98,8 @@
         "index": stored.index,
         "told_index": node.published_state.committed.index,
         "evacuated": sorted(stored.evacuated),
+        "evacuations": {zone: stored.evacuation_count(zone) for zone in sorted(stored.evacuated)},
+        "ack_s": node.evacuations.ack_s,
         "process": process_view(node),
         "callers": len(node.connection_limit.connections),
         "bodies_refused": node.call_budget.refused,
--- a/latchspoke/ctl/client.py
+++ b/latchspoke/ctl/client.py
@@ -100,13 +100,19 @@
     sleep: Callable[[float], None] = lambda s: time.sleep(s)
     rng: random.Random = field(default_factory=random.Random)
     retry_for_s: float = 6.0
+    # No attempt is begun later than ``retry_for_s``: the nodes take a later one for another operator's.
+    strict: bool = False
     errors: list[str] = field(default_factory=list)  # of the latest call
 
     def addresses_to_try(self) -> Iterator[Address]:
-        """The addresses in rounds until the time is up; at least one round."""
-        deadline, delay = self.clock() + self.retry_for_s, RETRY_DELAY_S[0]
+        """The addresses in rounds until the time is up; at least one round, or one address if ``strict``."""
+        deadline, delay, attempts = self.clock() + self.retry_for_s, RETRY_DELAY_S[0], 0
         while True:
-            yield from self.addresses
+            for address in self.addresses:
+                if self.strict and attempts and self.clock() >= deadline:
+                    return
+                attempts += 1
+                yield address
             if self.clock() + delay >= deadline:
                 return
             self.sleep(delay * (0.7 + 0.6 * self.rng.random()))
--- a/latchspoke/ctl/common.py
+++ b/latchspoke/ctl/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,6 +16,8 @@
 from latchspoke.ctl import client, file_checks
 from latchspoke.ctl.client import ControlPlaneClient, Reply
 
+REPEAT_FRACTION = 0.9  # of ``ackS``
+DEFAULT_REPEAT_LIMIT_S = 3.0
 DONE, NO_ANSWER, USAGE, INVALID, CONFLICT, OUTCOME_UNKNOWN, FINDINGS = range(7)
 
 
@@ -58,13 +61,21 @@
     return code
 
 
-def control_plane_client(options: ControlPlaneOptions) -> ControlPlaneClient:
-    """A client for the nodes named by the options; CommandError if there are none."""
+def control_plane_client(
+    options: ControlPlaneOptions, strict_limit_s: float | None = None
+) -> ControlPlaneClient:
+    """A client for the nodes named by the options; CommandError if there are none.
+
+    ``strict_limit_s``: no attempt is begun later than this after the first one.
+    """
     if not options.control:
         raise CommandError(USAGE, "no control-plane node is given: use --control or LATCHSPOKE_CONTROL")
     try:
         return ControlPlaneClient(
-            client.parse_addresses(options.control), request_sender, retry_for_s=options.within
+            client.parse_addresses(options.control),
+            request_sender,
+            retry_for_s=min(options.within, math.inf if strict_limit_s is None else strict_limit_s),
+            strict=strict_limit_s is not None,
         )
     except client.AddressError as e:
         raise CommandError(USAGE, f"--control: {e}") from None
@@ -133,28 +144,57 @@
 
 
 def submit_command(
-    options: ControlPlaneOptions, command: str, body: bytes, message: str, zone: str = ""
+    options: ControlPlaneOptions, command: str, body: bytes, message: str, subject: str = ""
 ) -> int:
     """Send a command, repeated unchanged until its outcome is known or the time is up; the exit code."""
-    target = f"/rpc?call={command}" + (f"&of={zone}" if zone else "")
+    target = f"/rpc?call={command}" + (f"&of={subject}" if subject else "")
     match control_plane_client(options).call("POST", target, body):
+        case Success(Reply(status=200) as reply):
+            return print_result(options, message, {"by": reply.source})
+        case Success(Reply() as reply):
+            raise refusal(reply)
+        case Failure(error):
+            raise CommandError(
+                OUTCOME_UNKNOWN,
+                f"outcome unknown, the change may be in effect or not; send the same again: {error}",
+            )
+    raise AssertionError
+
+
+def submit_evacuation(options: ControlPlaneOptions, what: str, zone: str, message: str) -> int:
+    """As ``submit_command``, but not for longer than a call of an evacuation may be repeated."""
+    client_of_nodes = control_plane_client(options, strict_limit_s=repeat_limit_s(options))
+    match client_of_nodes.call("POST", f"/rpc?call=evacuation.{what}&of={zone}"):
         case Success(Reply(status=200) as reply):
             remaining = reply.body.get("standing") if isinstance(reply.body, dict) else None
             extra = {} if remaining is None else {"standing": remaining}
-            if command == "evacuation.finish" and remaining:
+            if what == "finish" and remaining:
                 message = f"one evacuation of {zone} is taken back; {remaining} more, by others, stands"
             return print_result(options, message, {"by": reply.source} | extra)
-        case Success(Reply(status=412) as reply):
-            raise CommandError(CONFLICT, f"conflict: {reply.reason}", by=reply.source)
         case Success(Reply() as reply):
-            faults = reply.body.get("faults", []) if isinstance(reply.body, dict) else []
-            text = "\n".join(map(str, faults)) or reply.reason
-            raise CommandError(
-                INVALID, text, by=reply.source, faults=[{"path": "", "reason": fault} for fault in faults]
-            )
+            raise refusal(reply)
         case Failure(error):
             raise CommandError(
                 OUTCOME_UNKNOWN,
-                f"outcome unknown, the change may be in effect or not; send the same again: {error}",
+                f"outcome unknown, look at `status` before you send it again, as that counts anew: {error}",
             )
     raise AssertionError
+
+
+def repeat_limit_s(options: ControlPlaneOptions) -> float:
+    """How long a call may be repeated, by a node that answers; a short time if none does."""
+    match control_plane_client(options, strict_limit_s=0.0).call("GET", "/status"):
+        case Success(Reply(status=200, body={"ack_s": (int() | float()) as ack_s})):
+            return ack_s * REPEAT_FRACTION
+    return DEFAULT_REPEAT_LIMIT_S
+
+
+def refusal(reply: Reply) -> CommandError:
+    """The error for a command that was refused."""
+    if reply.status == 412:
+        return CommandError(CONFLICT, f"conflict: {reply.reason}", by=reply.source)
+    faults = reply.body.get("faults", []) if isinstance(reply.body, dict) else []
+    text = "\n".join(map(str, faults)) or reply.reason
+    return CommandError(
+        INVALID, text, by=reply.source, faults=[{"path": "", "reason": fault} for fault in faults]
+    )
--- a/latchspoke/ctl/order_commands.py
+++ b/latchspoke/ctl/order_commands.py
@@ -27,6 +27,7 @@
     read_current,
     read_input,
     submit_command,
+    submit_evacuation,
     value_or_fail,
 )
 
@@ -156,10 +157,10 @@
 @evacuate_app.command(name="begin")
 def evacuate_begin(zone: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
     """Stop sending requests to the zone's servers."""
-    return submit_command(where, "evacuation.begin", b"", f"{zone} gets nothing more", zone)
+    return submit_evacuation(where, "begin", zone, f"{zone} gets nothing more")
 
 
 @evacuate_app.command(name="finish")
 def evacuate_finish(zone: str, *, where: ControlPlaneOptions = DEFAULT_CONTROL_PLANE) -> int:
     """End an evacuation of the zone."""
-    return submit_command(where, "evacuation.finish", b"", f"{zone} is taken back", zone)
+    return submit_evacuation(where, "finish", zone, f"{zone} is taken back")
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import functools
 import json
 import random
 import subprocess
@@ -404,11 +405,37 @@
     target = "/rpc?call=evacuation.finish&of=a"
     system.respond(target, (503, {"errorText": "send it again"}), (200, {"standing": 1}))
     code, text = run("evacuate", "finish", "a")
-    assert code == 0 and "1 more, by others, stands" in text and len(system.sent) == 2
+    assert code == 0 and "1 more, by others, stands" in text
+    assert [sent_target for sent_target, _ in system.sent].count(target) == 2
     system.respond(target, (200, {"standing": 0}))
     assert run("evacuate", "finish", "a") == (0, "a is taken back\n")
 
 
+@pytest.mark.parametrize(("status", "repeats_for_s"), [("silent", 3.0), ((200, {"ack_s": 10.0}), 9.0)])
+def test_evacuation_is_not_repeated_for_longer_than_ack_s(
+    run: Run, system: FakeSystem, monkeypatch: pytest.MonkeyPatch, status: Any, repeats_for_s: float
+) -> None:
+    """A begin that was repeated later, each round trying all nodes first, counted as another operator's."""
+    now, sent_at = [0.0], []
+
+    def ask(address: client.Address, method: str, target: str, body: bytes) -> Result[Reply, str]:
+        if target.startswith("/rpc"):
+            sent_at.append(now[0])
+            now[0] += 1.0  # a node that doesn't answer
+        return system.ask(address, method, target, body)
+
+    monkeypatch.setattr(common, "request_sender", ask)
+    timed = functools.partial(
+        client.ControlPlaneClient, clock=lambda: now[0], sleep=lambda s: now.append(now.pop() + s)
+    )
+    monkeypatch.setattr(common, "ControlPlaneClient", timed)
+    system.respond("/status", status)
+    system.respond("/rpc?call=evacuation.begin&of=a", "silent")
+    code, text = run("evacuate", "begin", "a", "--within", "60", "--control", "h:1,h:2,h:3,h:4,h:5")
+    assert code == common.OUTCOME_UNKNOWN and "look at `status`" in text
+    assert repeats_for_s - 2.5 < sent_at[-1] - sent_at[0] <= repeats_for_s
+
+
 def test_reach_shows_reached_servers_and_changes(run: Run, system: FakeSystem) -> None:
     system.respond("/status", (200, CONTROL))
     code, text = run("reach", "--since", "500")
