Grant no more of an unknown burst than may be granted beyond the quota

Cause: an owner of a quota begins with half of the burst where nobody knows how much was used; that is inside what may be granted beyond a quota only if the burst is small beside the rate.

Change: it begins with half of the burst or half of that excess, whichever is less, by the bounds of the settings.

--- a/barleyhub/line/quota.py
+++ b/barleyhub/line/quota.py
@@ -23,8 +23,9 @@
 NEAR_QUOTA_SHARE = 0.8  # of the rate; a tenant that offers more may soon exceed its quota
 UNREPORTED_SHARE = 0.5  # share of a gateway's part of the remaining units that may stay unreported
 GROWTH_SMOOTHING_PER_S = 4.0  # units a second; keeps small local rates from implying large growth
-# Initial level of a bucket without known history, as a share of the burst, which may just have been used.
-INITIAL_BURST_SHARE = 0.5
+# Initial level of a bucket without known history, as shares of the burst, which may just have been used, and
+# of what may be granted beyond the quota in that case; the rest of that is for inexact totals.
+INITIAL_BURST_SHARE, INITIAL_EXCESS_SHARE = 0.5, 0.5
 IDLE_EXPIRY_S = 60.0  # idle tenants are dropped after this time
 GRANTED_SHARE = 1.0  # share of the quota that is granted
 # A bucket on hand-over: rate, burst, remaining, offered, admitted, and the reported counts by gateway.
@@ -273,10 +274,23 @@
         )
 
 
+class QuotaTolerance(msgspec.Struct, frozen=True):
+    """How far a tenant may exceed its quota within any ``window_s``: by a share of it, and some units."""
+
+    window_s: float = 5.0
+    excess: float = 0.1
+    slack: float = 20.0
+
+    def units(self, rate: float, burst: float) -> float:
+        """The units that may be granted beyond the quota."""
+        return (rate * self.window_s + burst) * self.excess + self.slack
+
+
 class QuotaOwner:
     """Token buckets of the tenants owned by this gateway. The caller decides which ones these are."""
 
-    def __init__(self) -> None:
+    def __init__(self, tolerance: QuotaTolerance = QuotaTolerance()) -> None:  # noqa: B008 - immutable
+        self.tolerance = tolerance
         self.buckets: dict[str, TenantBucket] = {}
         self.handed_over: dict[str, TenantBucket] = {}  # received, without a report yet
         self.reachable_share = 1.0  # of the gateways; the others may have an owner of their own
@@ -291,7 +305,7 @@
         rate, burst = counts["r"], counts["b"]
         bucket, known_remaining = (
             self.buckets.get(tenant),
-            counts.get("k", 0.0 if self.just_started else burst * INITIAL_BURST_SHARE),
+            counts.get("k", 0.0 if self.just_started else self.initial_level(rate, burst)),
         )
         if (
             bucket is None
@@ -338,6 +352,10 @@
             )
         return round(bucket.remaining, 2), round(bucket.offered_per_s, 2), round(bucket.admitted_per_s, 2)
 
+    def initial_level(self, rate: float, burst: float) -> float:
+        """The level of a bucket of which nobody knows how much of the burst has been used."""
+        return min(INITIAL_BURST_SHARE * burst, INITIAL_EXCESS_SHARE * self.tolerance.units(rate, burst))
+
     def expire(self, now: float) -> None:
         """Drop idle buckets, and handed-over ones that no gateway has reported for."""
         for tenant in [
--- a/latchspoke/dataplane/node.py
+++ b/latchspoke/dataplane/node.py
@@ -9,6 +9,7 @@
 from barleyhub.line.balancer import Balancer, ColdLimit, Upstream, UpstreamState
 from barleyhub.line.dispatch import Dispatcher
 from barleyhub.line.outliers import OutlierDetector
+from barleyhub.line.quota import QuotaTolerance
 from latchspoke import process_run
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.configuration.routes import Table, compile_table
@@ -170,6 +171,11 @@
             self.dispatcher,
             lambda totals: self.core.submit(totals, self.clock.now()),  # type: ignore[arg-type]
         )
+        self.usage_reports.owned_quotas.tolerance = QuotaTolerance(
+            bound("quotaWindowS", DEFAULT_QUOTA_WINDOW_S),
+            bound("quotaExcess", 0.1),
+            bound("quotaSlack", 20.0),
+        )
         self.ports.usage_reports = self.usage_reports
         self.session_affinity: SessionAffinity | None = None
         if lease_required:  # shares of a gateway that is cut off stay reserved until its lease ends
--- a/tests/line/test_quota.py
+++ b/tests/line/test_quota.py
@@ -16,7 +16,7 @@
 from barleyhub import interface as api
 from barleyhub.line.balancer import Balancer, Upstream, UpstreamState
 from barleyhub.line.dispatch import Dispatcher, RoutedRequest, TotalsReceived
-from barleyhub.line.quota import Account, QuotaOwner
+from barleyhub.line.quota import Account, QuotaOwner, QuotaTolerance
 from latchspoke.configuration.routes import NO_HOMES, Route, Tenant
 from latchspoke.dataplane.node import DEFAULT_QUOTA_WINDOW_S, NEW_OWNER_CAUTION_S, cannot_own_quotas
 from latchspoke.dataplane.usage_reports import REPORT_INTERVAL_S, UsageReports
@@ -448,3 +448,15 @@
     meta: dict[str, bool], others_running: bool, owns_nothing: bool
 ) -> None:
     assert cannot_own_quotas(meta, others_running) is owns_nothing
+
+
+@pytest.mark.parametrize(("rate", "burst"), [(20.0, 400.0), (70.0, 70.0), (3.0, 5.0), (1.0, 5000.0)])
+def test_owner_that_knows_nothing_grants_no_more_than_may_be_granted_twice(rate: float, burst: float) -> None:
+    """QUOTA (review/8): after a kill of all processes, half of a large burst was granted again."""
+    counts = {"o": 0.0, "a": 0.0, "r": rate, "b": burst}
+    tolerance = QuotaTolerance(5.0, 0.1, 20.0)
+    level = QuotaOwner(tolerance).apply_report("g1", "one", "t", counts, 0.0)[0]
+    allowed = (rate * 5.0 + burst) * 1.1 + 20.0
+    assert 0.0 < level <= burst / 2
+    # The whole burst just before, the rate all the time, and the level again; half of the excess is left.
+    assert burst + rate * 5.0 + level <= allowed - tolerance.units(rate, burst) / 2 + 0.01
