--- a/latchspoke/lab/soak/fleet.py
+++ b/latchspoke/lab/soak/fleet.py
@@ -401,6 +401,7 @@
         old, life = machine.process, self.record.lives[machine.ip][-1]
         begun = time.monotonic()
         self.record.troubles[machine.ip].append((begun, math.inf))
+        machine.stops = True  # another operation would start a process of its own, and lose this one
         await self.start(machine)
         machine.stops = True
         life.term_at = time.monotonic()
--- a/latchspoke/lab/soak/link_faults.py
+++ b/latchspoke/lab/soak/link_faults.py
@@ -22,6 +22,7 @@
 FAULTS_FILE_VARIABLE = "LATCHSPOKE_SOAK_FAULTS"
 REREAD_INTERVAL_S = 0.02
 HELD_CHECK_INTERVAL_S = 0.02  # of what is held by a cut
+MAX_HELD_INPUT_BYTES = 64 * 1024  # of a connection; the rest waits in the kernel, as behind a real cut
 
 
 class Faults:
@@ -99,6 +100,7 @@
     def __init__(self, transport: Any, passage: Passage) -> None:
         self.transport, self.passage, self.held_bytes = transport, passage, 0
         self.closing = False
+        self.held_input_bytes, self.reading_paused = 0, False
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.transport, name)
@@ -119,6 +121,26 @@
         if not self.transport.is_closing():
             self.transport.write(data)
 
+    def pause_reading(self) -> None:
+        """The protocol wants no more input."""
+        self.reading_paused = True
+        self.update_reading(0)
+
+    def resume_reading(self) -> None:
+        """The protocol wants input again."""
+        self.reading_paused = False
+        self.update_reading(0)
+
+    def update_reading(self, held_change: int) -> None:
+        """Read no more while the protocol wants nothing, or while much input is held."""
+        self.held_input_bytes += held_change
+        if self.transport.is_closing():
+            return
+        if self.reading_paused or self.held_input_bytes > MAX_HELD_INPUT_BYTES:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def get_write_buffer_size(self) -> int:
         """What is held counts as unsent."""
         return int(self.transport.get_write_buffer_size()) + self.held_bytes
@@ -146,11 +168,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Pass on the transport in another one."""
-        self.inner.connection_made(LinkTransport(transport, self.outbound))
+        self.transport = LinkTransport(transport, self.outbound)
+        self.inner.connection_made(self.transport)
 
     def data_received(self, data: bytes) -> None:
         """Pass on input once the link lets it through."""
-        self.inbound.put(lambda: self.inner.data_received(data))
+        self.transport.update_reading(len(data))
+        self.inbound.put(lambda: self.pass_on(data))
+
+    def pass_on(self, data: bytes) -> None:
+        """The link lets input through."""
+        self.transport.update_reading(-len(data))
+        self.inner.data_received(data)
 
     def eof_received(self) -> bool | None:
         """Pass on the end of the input at once; the connection closes."""
--- a/tests/lab/test_soak_troubles.py
+++ b/tests/lab/test_soak_troubles.py
@@ -12,15 +12,19 @@
 import sys
 import time
 from pathlib import Path
+from unittest.mock import AsyncMock, Mock
+from unittest.mock import call as call_of
 
 import pytest
 
+from latchspoke.lab.soak import fleet as fleet_module
 from latchspoke.lab.soak.deployments import SMALL
-from latchspoke.lab.soak.fleet import READINESS_PORT, Machine
+from latchspoke.lab.soak.fleet import READINESS_PORT, Fleet, Machine
+from latchspoke.lab.soak.link_faults import Faults, LinkProtocol
 from latchspoke.lab.soak.parties import call
 from latchspoke.lab.soak.power_loss import LOG_FILE, committed_bytes, lose_power
 from latchspoke.lab.soak.processor import ProcessorQuota, processor_time_s
-from latchspoke.lab.soak.record import Record, Sent
+from latchspoke.lab.soak.record import Life, Record, Sent
 from latchspoke.lab.soak.run import Plan, Run, play
 
 STEP_S = 2400.0
@@ -163,3 +167,49 @@
     found, counts = play(Plan(seed, seconds=10.0, troubles=True), tmp_path, net)
     assert not found, "\n".join(map(str, found[:10]))
     assert counts["processes begun"] > 7
+
+
+def test_two_starts_beside_a_process_at_once_lose_no_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A run waited for ever for a process that it had lost from its list, and never told to stop."""
+    fleet = Fleet(tmp_path, Record(0.0, 3.0), 99, 1, 1)
+    machine, started = fleet.edges[0], []
+
+    async def start(machine: Machine, first: bool = False) -> None:
+        await asyncio.sleep(0.01)
+        machine.process = Mock(returncode=None, wait=AsyncMock(return_value=0))
+        started.append(machine.process)
+        machine.stops = False
+        fleet.record.lives[machine.ip].append(Life(0.0))
+
+    monkeypatch.setattr(fleet, "start", start)
+    monkeypatch.setattr(fleet_module, "send_signal", lambda *args: None)
+
+    async def scenario() -> None:
+        await start(machine)
+        await asyncio.gather(*(fleet.start_beside(machine) for _ in range(2)), fleet.kill(machine, 0.0))
+
+    asyncio.run(scenario())
+    assert len(started) == 2 and machine.process is started[1] and not machine.stops
+
+
+def test_link_that_is_cut_holds_little_input(tmp_path: Path) -> None:
+    """A process of a run took 540 MB, most of which the cut held for it in its own memory."""
+    loop = asyncio.new_event_loop()
+    faults = Faults(str(tmp_path / "none"))
+    faults.cut, received = frozenset({"peer"}), bytearray()
+    inner = Mock(data_received=received.extend)
+    transport = Mock(is_closing=lambda: False)
+    link = LinkProtocol(loop, faults, "peer", inner)
+    link.connection_made(transport)
+    for _ in range(3):
+        link.data_received(b"x" * 30_000)
+    assert transport.method_calls[-1] == call_of.pause_reading()
+    faults.cut = frozenset()
+    link.inbound.release()
+    assert len(received) == 90_000 and transport.method_calls[-1] == call_of.resume_reading()
+    link.transport.pause_reading()
+    link.data_received(b"x")
+    assert transport.method_calls[-1] == call_of.pause_reading(), "the protocol wants none"
+    loop.close()
