Move the handling of configurations out of the control-plane node

ConfigurationController now checks and submits configurations, and store_access.py holds what the three controllers share (the store's protocol, its time limits, the answer without a quorum), which stood in two of them.

No behaviour changes. Tests of controlplane, ctl, line, compatibility, lab/test_system (all guards) pass.

--- a/latchspoke/controlplane/evacuation_orders.py
+++ b/latchspoke/controlplane/evacuation_orders.py
@@ -11,13 +11,16 @@
 from latchspoke.configstore.entry_ages import AgeBounds
 from latchspoke.controlplane.evacuations import CallKind, classify_call
 from latchspoke.controlplane.pauses import PauseDetector
-from latchspoke.controlplane.rollouts import NO_QUORUM, Store
+from latchspoke.controlplane.store_access import (
+    DEFAULT_ACK_TIMEOUT_S,
+    NO_QUORUM,
+    STORE_TIMEOUT_S,
+    Store,
+)
 from latchspoke.settings.node import Settings
 from latchspoke.transport.http_server import Caller, Response
 
-STORE_TIMEOUT_S = 0.85  # for a request to the replicated store
 AGE_TIMEOUT_S = 0.4  # for the voters' answers, of which a majority is enough
-DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an evacuation call
 CALLER_TIMEOUT_S = 1.0  # that a caller waits for an answer
 MAX_ATTEMPTS = 3  # a call is classified again when its zone has changed meanwhile
 # Before an unclear call is rejected, so that its caller makes fewer and shorter pauses; one that is about to
--- a/latchspoke/controlplane/node.py
+++ b/latchspoke/controlplane/node.py
@@ -11,22 +11,19 @@
 
 from latchspoke import process_run
 from latchspoke.agent.raft_store import RaftStoreError
-from latchspoke.configstore.config_state import CONFLICT, UNCHECKED, Verdict
 from latchspoke.configstore.config_state import ConfigState as StoredState
+from latchspoke.configstore.config_state import Verdict
 from latchspoke.configstore.replica import Replica
 from latchspoke.configstore.voters import DEFAULT_CATCH_UP_S, Location
 from latchspoke.configuration.patch import apply_patch
 from latchspoke.consensus.records import name_of
 from latchspoke.controlplane.calls import (
     ApiCall,
-    InvalidRequestError,
-    digest_of,
     heartbeat_target,
     parse_call,
-    parse_configuration,
-    parse_order_versions,
     select_gateways,
 )
+from latchspoke.controlplane.configuration_orders import ConfigurationController
 from latchspoke.controlplane.evacuation_orders import EvacuationController
 from latchspoke.controlplane.fanout import (
     FORWARD_FIELD,
@@ -38,6 +35,7 @@
 from latchspoke.controlplane.peers import Peers
 from latchspoke.controlplane.relays import GatewayRelays
 from latchspoke.controlplane.rollouts import RolloutController
+from latchspoke.controlplane.store_access import NO_QUORUM, STORE_TIMEOUT_S
 from latchspoke.controlplane.update_batcher import ServerUpdateBatcher
 from latchspoke.distribution.published_state import CommittedState, Subscriber, decode_entries
 from latchspoke.membership.protocol import MembershipEvent
@@ -48,7 +46,6 @@
 from latchspoke.transport.connection import Message, MessageConnection
 from latchspoke.transport.connection_limit import ConnectionLimit
 from latchspoke.transport.http_server import LOCAL_CALLER, Caller, HttpServerConnection, Response
-from latchspoke.transport.json_size import decoded_size
 from latchspoke.transport.log import log
 from latchspoke.transport.request_ids import first_request_id
 
@@ -57,17 +54,14 @@
 PROOF_INTERVAL_S = 0.4  # minimum between proof rounds; requests that arrive meanwhile share the next one
 REPLICATION_TIMEOUT_S = 0.8  # for a majority of the control-plane nodes to confirm a server's state
 SUBSCRIBER_ACK_TIMEOUT_S = 0.35  # a committed command waits this long for the gateways subscribed here
-STORE_TIMEOUT_S = 0.85  # for a request to the replicated store
 ISOLATION_GRACE_S = 3.5  # after reconnecting to a peer, before missing heartbeats count against servers
 EVIDENCE_DELAY_S = 0.1  # collects the gateways' evidence on servers before it is sent on
 EVIDENCE_RETRY_DELAY_S = 0.3  # until evidence that changed too little to be sent is checked again
 RESOLUTION_TTL_S = 1.0  # how long clients cache a gateway look-up
 CALLER_DESCRIPTOR_FRACTION = 0.5  # for connections of servers, operators and clients; links need the rest
 MIN_CALLER_CONNECTIONS = 16
-LARGE_ORDER_BYTES = 256 * 1024  # a decoded configuration takes many times its size
 MIN_SHUTDOWN_DELAY_S = 0.1  # for what has been written
 MAX_ANSWER_DELAY_S = 0.6  # at the end, for calls that are being answered
-MAX_CHECK_ATTEMPTS = 3  # a patch is checked again when its base version has changed meanwhile
 RECEIPT: Message = {"k": "heard"}  # answers a message without a reply, to show that the path works
 STATUS_BY_VERDICT = {"taken": 200, "repeated": 200, "conflict": 412, "invalid": 400}
 
@@ -131,22 +125,25 @@
         self.proof_running = False
         self.connected_since = self.started_at = self.clock.now()
         self.pauses = PauseDetector(SWEEP_INTERVAL_S, self.started_at)
-        self.evacuations = EvacuationController(
+        evacuations = self.evacuations = EvacuationController(
             self.replica, s, self.clock.now, self.pauses, self.rng, self.respond
         )
+        configurations = self.configurations = ConfigurationController(
+            self.replica, self.max_decoded_bytes, self.respond
+        )
         self.rollouts = RolloutController(
             self.replica, s, self.clock.now, self.peers.send, self.live_gateways, self.spawn, self.respond
         )
         self.handlers: dict[str, Callable[[ApiCall, bytes, Caller], Response | Awaitable[Response]]] = {
             "instances.heartbeat": lambda call, body, caller: self.handle_heartbeat(call.subject, body),
             "instances.deregister": lambda call, body, caller: self.handle_deregistration(call.subject),
-            "configuration.replace": lambda call, body, caller: self.handle_configuration(body, caller),
-            "configuration.modify": lambda call, body, caller: self.handle_configuration(body, caller),
-            "configuration.read": lambda call, body, caller: self.handle_configuration_read(),
-            "evacuation.begin": lambda call, body, caller: self.evacuations.handle_call(
+            "configuration.replace": lambda call, body, caller: configurations.handle_change(body, caller),
+            "configuration.modify": lambda call, body, caller: configurations.handle_change(body, caller),
+            "configuration.read": lambda call, body, caller: configurations.handle_read(),
+            "evacuation.begin": lambda call, body, caller: evacuations.handle_call(
                 call.subject, True, caller
             ),
-            "evacuation.finish": lambda call, body, caller: self.evacuations.handle_call(
+            "evacuation.finish": lambda call, body, caller: evacuations.handle_call(
                 call.subject, False, caller
             ),
             "rollouts.begin": lambda call, body, caller: self.rollouts.handle_begin(body, caller),
@@ -161,7 +158,6 @@
         self.connection_limit = ConnectionLimit(
             max(int(s.file_descriptors * CALLER_DESCRIPTOR_FRACTION), MIN_CALLER_CONNECTIONS)
         )
-        self.large_order = asyncio.Semaphore(1)  # one large configuration is decoded at a time
         self.stopping = False
         self.unknown_calls = 0  # calls that no handler answers, since the start
 
@@ -539,70 +535,6 @@
             self.broadcast_to_gateways(entry, now)
         return self.respond_when_replicated(entry)
 
-    async def handle_configuration(self, body: bytes, caller: Caller) -> Response:
-        """Handle a full configuration or a patch; large ones one after the other."""
-        if decoded_size(body) > self.max_decoded_bytes:
-            return 413, {"errorText": "the configuration takes too much memory"}
-        if len(body) < LARGE_ORDER_BYTES:
-            return await self.change_configuration(body)
-        async with self.large_order:
-            if caller.gone:  # it has sent the order again, and would have it decoded twice
-                return 503, {"errorText": "the caller has left"}
-            early_response = await self.respond_early(body)
-            return early_response or await self.change_configuration(body)
-
-    async def respond_early(self, body: bytes) -> Response | None:
-        """The response to an order that can't change anything, without decoding and replicating it.
-
-        It was taken before, as a large one takes longer than its callers wait for an answer; or a version
-        after its base is in force, and versions only increase. None for all others.
-        """
-        versions, digest = parse_order_versions(body), digest_of(body)
-        if versions is None or await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
-            return None
-        stored = self.replica.state
-        if stored.has_taken(digest):
-            return 200, {"version": f"{stored.version:08x}"}
-        if versions.base_version >= stored.version or stored.version_forgotten(versions.version):
-            return None
-        log("order", what="configuration", verdict=CONFLICT, why="its base is older", index=stored.index)
-        reason = f"built on version {versions.base_version}, current is {stored.version}"
-        return 412, {"errorText": reason, "version": f"{stored.version:08x}"}
-
-    async def change_configuration(self, body: bytes) -> Response:
-        """Check a full configuration or a patch, and submit it."""
-        if self.stopping:
-            return 503, {"errorText": "stops"}
-        for _ in range(MAX_CHECK_ATTEMPTS):
-            try:
-                command, faults = self.parse_command(body)
-                if command.get("unchecked") and await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
-                    return 503, {"errorText": "no majority can be reached"}
-                if command.get("unchecked"):
-                    # The base version may have been applied here meanwhile.
-                    command, faults = self.parse_command(body)
-            except InvalidRequestError as error:
-                return 400, {"errorText": str(error)}
-            if faults:
-                log("configuration-refused", why=faults[0], faults=len(faults))
-                return 400, {"errorText": faults[0], "faults": faults[:50]}
-            verdict = await self.replica.submit(command, STORE_TIMEOUT_S)
-            if verdict.kind != UNCHECKED:
-                break
-        return await self.respond(command, verdict)
-
-    def parse_command(self, body: bytes) -> tuple[dict[str, Any], list[str]]:
-        """The command for the replicated store, and the faults of the result. Raises InvalidRequestError.
-
-        ``unchecked`` marks a patch whose base is not the version known here, so that its result could not be
-        checked.
-        """
-        stored = self.replica.state
-        command, faults = parse_configuration(body, stored.document, stored.version)
-        if command["do"] == "modify" and command["base"] != stored.version:
-            command["unchecked"] = True
-        return command, faults
-
     async def respond(self, command: dict[str, Any], verdict: Verdict) -> Response:
         """The response to a command; after a commit, waits briefly for the gateways subscribed here."""
         log("order", what=command["do"], verdict=verdict.kind, why=verdict.reason, index=verdict.index)
@@ -617,19 +549,10 @@
             await asyncio.sleep(0.01)
         return 200, {"version": f"{verdict.version:08x}"}
 
-    async def handle_configuration_read(self) -> Response:
-        """The newest configuration; 503 without a quorum."""
-        if await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
-            return 503, {"errorText": "no majority can be reached"}
-        stored = self.replica.state
-        if stored.document is None:
-            return 503, {"errorText": "there is no configuration yet"}
-        return 200, stored.document
-
     async def export_state(self) -> Response:
         """An export of the committed state, with every acknowledged command; 503 without a quorum."""
         if await self.replica.confirm_read(STORE_TIMEOUT_S) is None:
-            return 503, {"errorText": "no majority can be reached"}
+            return NO_QUORUM
         return self.show_view("copy")
 
     def show_view(self, what: str) -> Response:
@@ -713,7 +636,7 @@
     def stop(self) -> None:
         """Shut down in order (SIGTERM)."""
         if not self.stopping:
-            self.stopping = True
+            self.stopping = self.configurations.stopping = True
             log("stops")
             self.spawn(self.shut_down())
 
--- a/latchspoke/controlplane/rollouts.py
+++ b/latchspoke/controlplane/rollouts.py
@@ -9,11 +9,17 @@
 
 import math
 from collections.abc import Awaitable, Callable, Collection, Coroutine
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from latchspoke.configstore.config_state import ConfigState, Verdict
+from latchspoke.controlplane.store_access import (
+    DEFAULT_ACK_TIMEOUT_S,
+    NO_QUORUM,
+    STORE_TIMEOUT_S,
+    Store,
+)
 from latchspoke.settings.node import Settings
 from latchspoke.transport.connection import Message
 from latchspoke.transport.http_server import Caller, Response
@@ -33,37 +39,7 @@
 
 DEFAULT_EXPOSURE_SHARE = 0.1
 DEFAULT_EXPOSURE_SLACK = 50.0
-STORE_TIMEOUT_S = 0.85  # for a request to the replicated store
-DEFAULT_ACK_TIMEOUT_S = 6.0  # the longest time over which a caller repeats an order
 RESEND_INTERVAL_S = 2.0  # all reports are passed on again, as a message may be lost
-NO_QUORUM: Response = (503, {"errorText": "no majority can be reached"})
-
-
-class Store(Protocol):
-    """What is used of the replica of the config store."""
-
-    @property
-    def state(self) -> ConfigState:
-        """The applied state."""
-        ...
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this node leads the replicated log."""
-        ...
-
-    @property
-    def leader_name(self) -> str:
-        """The leader's internal address, '' if it is unknown."""
-        ...
-
-    async def submit(self, command: dict[str, Any], limit: float) -> Verdict:
-        """Submit a command."""
-        ...
-
-    async def confirm_read(self, limit: float) -> int | None:
-        """Whether the state is the newest."""
-        ...
 
 
 class RolloutController:
--- a/latchspoke/lab/system/guards.py
+++ b/latchspoke/lab/system/guards.py
@@ -18,7 +18,9 @@
 from latchspoke.agent.raft_store import RaftStoreError
 from latchspoke.configstore.config_state import ConfigState
 from latchspoke.configuration.routes import Route
+from latchspoke.controlplane import configuration_orders
 from latchspoke.controlplane import node as controlplane
+from latchspoke.controlplane.configuration_orders import ConfigurationController
 from latchspoke.controlplane.rollouts import RolloutController
 from latchspoke.dataplane import (
     downstream,
@@ -162,7 +164,7 @@
 
 def accept_only_first(old: Any) -> Any:
     async def configure(self: Any, body: Any) -> Any:
-        if self.replica.state.version:
+        if self.store.state.version:
             return 503, {"errorText": "not now"}
         return await old(self, body)
 
@@ -398,7 +400,7 @@
     "check": Guard(
         "CONFIG orders",
         (trouble(1.0, "invalid", count=3),),
-        lambda: [wrapped(controlplane, "parse_configuration", ignore_problems)],
+        lambda: [wrapped(configuration_orders, "parse_configuration", ignore_problems)],
     ),
     "base": Guard(
         "CONFIG orders",
@@ -408,7 +410,7 @@
     "read-back": Guard(
         "CONFIG read",
         (),
-        lambda: [wrapped(controlplane.Node, "handle_configuration_read", omit_first_tenant)],
+        lambda: [wrapped(ConfigurationController, "handle_read", omit_first_tenant)],
     ),
     "added-routes": Guard(
         "DENIED",
@@ -480,7 +482,7 @@
     "orders": Guard(
         "ACKS",
         (trouble(1.0, "change", how="timeout"),),
-        lambda: [wrapped(controlplane.Node, "change_configuration", accept_only_first)],
+        lambda: [wrapped(ConfigurationController, "change_configuration", accept_only_first)],
     ),
 }
 
--- a/tests/controlplane/test_node.py
+++ b/tests/controlplane/test_node.py
@@ -26,9 +26,9 @@
     Verdict,
 )
 from latchspoke.configstore.entry_ages import AgeBounds
-from latchspoke.controlplane import node
+from latchspoke.controlplane import configuration_orders, node
 from latchspoke.controlplane.calls import parse_call, select_gateways
-from latchspoke.controlplane.evacuation_orders import DEFAULT_ACK_TIMEOUT_S
+from latchspoke.controlplane.store_access import DEFAULT_ACK_TIMEOUT_S
 from latchspoke.lab.virtual import Network, VirtualLoop
 from latchspoke.lab.virtual_run import VirtualClock
 from latchspoke.membership.messages import Member
@@ -643,20 +643,22 @@
     harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Each copy was decoded and checked, for longer than its caller waited: no clear answer for 25 s."""
-    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    monkeypatch.setattr(configuration_orders, "LARGE_ORDER_BYTES", 10)
     body = json.dumps(sample_document()).encode()
     caller = cast(Any, SimpleNamespace(gone=False))
-    status, first = harness.run(harness.node.handle_configuration(body, caller))
+    status, first = harness.run(harness.node.configurations.handle_change(body, caller))
     assert status == 200
-    monkeypatch.setattr(harness.node, "parse_command", lambda body: pytest.fail("decoded again"))
-    assert harness.run(harness.node.handle_configuration(body, caller)) == (200, first)
+    monkeypatch.setattr(
+        harness.node.configurations, "parse_command", lambda body: pytest.fail("decoded again")
+    )
+    assert harness.run(harness.node.configurations.handle_change(body, caller)) == (200, first)
 
 
 def test_large_order_whose_caller_has_left_is_not_decoded(
     harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Callers send a large configuration again after a while; each copy was decoded, one beside the other."""
-    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    monkeypatch.setattr(configuration_orders, "LARGE_ORDER_BYTES", 10)
     callers = [SimpleNamespace(gone=False), SimpleNamespace(gone=True), SimpleNamespace(gone=False)]
     body = json.dumps(sample_document()).encode()
     running: list[int] = []
@@ -671,7 +673,7 @@
     monkeypatch.setattr(harness.replica, "submit", submit)
 
     async def send_all() -> list[int]:
-        calls = [harness.node.handle_configuration(body, cast(Any, caller)) for caller in callers]
+        calls = [harness.node.configurations.handle_change(body, cast(Any, caller)) for caller in callers]
         return [status for status, _ in await asyncio.gather(*calls)]
 
     assert harness.run(send_all()) == [200, 503, 200]
@@ -681,16 +683,16 @@
     harness: NodeHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Of several operators' orders of the planned size, each was decoded and replicated, and one taken."""
-    monkeypatch.setattr(node, "LARGE_ORDER_BYTES", 10)
+    monkeypatch.setattr(configuration_orders, "LARGE_ORDER_BYTES", 10)
     harness.replica.commit(7, sample_document())
     decoded: list[bytes] = []
-    parse_command = harness.node.parse_command
+    parse_command = harness.node.configurations.parse_command
 
     def record(body: bytes) -> Any:
         decoded.append(body)
         return parse_command(body)
 
-    monkeypatch.setattr(harness.node, "parse_command", record)
+    monkeypatch.setattr(harness.node.configurations, "parse_command", record)
     order = sample_document() | {"version": "00000009", "baseVersion": "00000005"}
     assert harness.call("configuration.replace", order)[0] == 412
     assert (decoded, harness.replica.commands) == ([], [])
