--- a/tests/agent/test_rules.py
+++ b/tests/agent/test_rules.py
@@ -330,7 +330,8 @@
     for host in rules_fleet.fleet.hosts.values():
         host.start()
     wait_until(lambda: rules_fleet.tool("list")[0] == 0, "the members answer")
-    assert rules_fleet.put("blocked", lapse="keep")[0] == 0
+    code, result = rules_fleet.put("blocked", lapse="keep")
+    assert code == 0, result
     wait_until(lambda: rules_fleet.served(), "the block is lifted everywhere")
 
 
