tests: let the process end before the launcher looks for it

The test raced with its own process. Now the PID is read only once the exit status is there; what is asserted is unchanged.

--- a/tests/agent/test_launcher.py
+++ b/tests/agent/test_launcher.py
@@ -11,6 +11,8 @@
 from latchspoke.agent import process
 from latchspoke.agent.process import Launcher, Process
 
+EXIT_TIMEOUT_S = 20.0
+
 
 def start(home: Path, *command: str) -> Process | str:
     async def scenario() -> Process | str:
@@ -43,5 +45,15 @@
     assert isinstance(start(tmp_path, "sleep", "30"), Process)
 
 
-def test_a_process_that_ends_at_once_is_told_with_its_status(tmp_path: Path) -> None:
+def test_a_process_that_ends_at_once_is_told_with_its_status(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The launcher learns the PID only after the end: on a busy machine it may otherwise look before."""
+
+    async def wait_number_after_end(path: Path, limit: float) -> int | None:
+        assert await original(path.parent / "exit", EXIT_TIMEOUT_S) == 3
+        return await original(path, limit)
+
+    original = process.wait_number
+    monkeypatch.setattr(process, "wait_number", wait_number_after_end)
     assert start(tmp_path, "sh", "-c", "exit 3") == "it ended at once with code 3"
